--- /dev/null
+++ b/cmd/egretdock/main.go
@@ -0,0 +1,4 @@
+// Command egretdock runs and operates the load balancer.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/input/input.go
@@ -0,0 +1,96 @@
+// Package input defines everything that the engine reacts to, as typed values.
+package input
+
+import (
+	"net/netip"
+	"time"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+)
+
+// Input is one thing that happened outside the engine.
+//
+//sumtype:decl
+type Input interface{ input() }
+
+// FromClient is a packet that a client sent. Header.Client is its source.
+type FromClient struct {
+	Packet packet.Packet
+}
+
+// FromUpstream is a packet that arrived on the upstream-facing socket.
+type FromUpstream struct {
+	// Source is the datagram's source and must be a known upstream endpoint.
+	Source netip.AddrPort
+	Packet packet.Packet
+}
+
+// FromPeer is a packet that another balancer relayed.
+type FromPeer struct {
+	Relay Relay
+}
+
+// Relay is a packet on its way to the owner of an upstream.
+type Relay struct {
+	Packet packet.Packet
+	// Target is the upstream endpoint whose owner must act.
+	Target netip.AddrPort
+	// Tried is the number of placement candidates tried before Target.
+	Tried uint8
+	// Forced is set on the last hop: the receiver queues or refuses the
+	// packet and does not pass it on.
+	Forced bool
+	// Best and BestQueue name the candidate with the shortest queue so far.
+	Best      netip.AddrPort
+	BestQueue uint32
+}
+
+// Gossip is a membership message from another balancer.
+type Gossip struct {
+	Message member.Message
+}
+
+// Configured delivers a configuration that the platform or a peer holds.
+type Configured struct {
+	Config model.Config
+}
+
+// Hosts delivers the platform's list of balancers; it may lag.
+type Hosts struct {
+	Balancers []model.Balancer
+}
+
+// LoadReport is the answer of an upstream's health and load endpoint; it may
+// lag or mislead.
+type LoadReport struct {
+	Endpoint netip.AddrPort
+	// Healthy is false when the endpoint failed to answer or said so.
+	Healthy bool
+	// Incarnation is 0 when the endpoint failed to answer.
+	Incarnation uint64
+	Draining    bool
+	// Running and Slots are counts of requests.
+	Running, Slots int
+}
+
+// Tick lets time pass. Front ends send it every TickInterval.
+type Tick struct{}
+
+// Leave asks the balancer to stop: it hands over ownership and finishes what
+// is in flight.
+type Leave struct{}
+
+// TickInterval is the interval between two ticks.
+const TickInterval = 50 * time.Millisecond
+
+func (*FromClient) input()   {}
+func (*FromUpstream) input() {}
+func (*FromPeer) input()     {}
+func (*Gossip) input()       {}
+func (*Configured) input()   {}
+func (*Hosts) input()        {}
+func (*LoadReport) input()   {}
+func (*Tick) input()         {}
+func (*Leave) input()        {}
--- /dev/null
+++ b/core/packet/header.go
@@ -0,0 +1,41 @@
+// Package packet defines the data packets of a flow as typed values, apart
+// from their encoding.
+package packet
+
+import "net/netip"
+
+// Route names one incarnation of one upstream. The zero value means no route.
+type Route struct {
+	// Endpoint is the upstream's packet address.
+	Endpoint netip.AddrPort
+	// Incarnation distinguishes restarts of the upstream at one endpoint.
+	Incarnation uint64
+}
+
+// IsZero reports whether the route is absent.
+func (r Route) IsZero() bool { return !r.Endpoint.IsValid() }
+
+// Header is common to all packets of a flow.
+type Header struct {
+	// Flow is the client's random flow identifier.
+	Flow uint64
+	// Address is the service address: its IP names the customer, its port the
+	// class.
+	Address netip.AddrPort
+	// Client is the return address of the client. Balancers set it from the
+	// source of the datagram; upstreams echo it.
+	Client netip.AddrPort
+	// Handshake is the number that the upstream chose when it accepted the
+	// flow; 0 before that.
+	Handshake uint32
+	// Route is the content of an authentic route token; zero if the packet
+	// carries none.
+	Route Route
+}
+
+// Packet is one message of a flow.
+type Packet struct {
+	Header
+	// Body is never nil in a valid packet.
+	Body Body
+}
