--- /dev/null
+++ b/client/errors.go
@@ -0,0 +1,45 @@
+package client
+
+import (
+	"fmt"
+	"time"
+
+	"egretdock/core/packet"
+)
+
+// NotRunError says that work was not run and will not run.
+type NotRunError struct {
+	Reason packet.Reason
+	// RetryAfter is the time after which a new try is useful.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *NotRunError) Error() string {
+	return fmt.Sprintf("not run: %s; try again after %s", e.Reason, e.RetryAfter)
+}
+
+// UnknownError says that work may or may not have run.
+type UnknownError struct {
+	// Attempts is the number of copies sent.
+	Attempts uint32
+	Cause    error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome unknown after %d attempts: %v; find out from the service before repeating work that is not idempotent", e.Attempts, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// BrokenError says that an established flow is lost.
+type BrokenError struct {
+	Reason packet.Reason
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("flow broken: %s; open a new flow", e.Reason)
+}
--- /dev/null
+++ b/client/link.go
@@ -0,0 +1,72 @@
+package client
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"egretdock/core/fault"
+)
+
+// Link carries datagrams between a client and the balancers. Any balancer may
+// receive any datagram.
+type Link interface {
+	// Send sends one datagram; it may be lost.
+	Send(b []byte) error
+	// Receive blocks for one datagram and returns its length.
+	Receive(b []byte) (int, error)
+	// Close ends Receive.
+	Close() error
+}
+
+// UDP is a link that sends each datagram to a balancer chosen at random.
+type UDP struct {
+	conn *net.UDPConn
+
+	mu sync.Mutex
+	// balancers is never empty.
+	balancers []netip.AddrPort
+	rnd       *rand.Rand
+}
+
+// DialUDP opens a link from a free local port to the given balancers.
+func DialUDP(balancers []netip.AddrPort, seed uint64) (*UDP, error) {
+	if len(balancers) == 0 {
+		return nil, fault.New(fault.KindInvalid, "no balancer addresses", "name at least one balancer address")
+	}
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4zero})
+	if balancers[0].Addr().IsLoopback() && err == nil {
+		_ = conn.Close()
+		conn, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindUnavailable, "cannot open a UDP port", "check the limits of this host")
+	}
+	return &UDP{conn: conn, balancers: balancers, rnd: rand.New(rand.NewPCG(seed, 1))}, nil
+}
+
+// SetBalancers replaces the balancers that datagrams are sent to.
+func (u *UDP) SetBalancers(bs []netip.AddrPort) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.balancers = bs
+}
+
+// Send implements Link.
+func (u *UDP) Send(b []byte) error {
+	u.mu.Lock()
+	to := u.balancers[u.rnd.IntN(len(u.balancers))]
+	u.mu.Unlock()
+	_, err := u.conn.WriteToUDPAddrPort(b, to)
+	return err
+}
+
+// Receive implements Link.
+func (u *UDP) Receive(b []byte) (int, error) {
+	n, _, err := u.conn.ReadFromUDPAddrPort(b)
+	return n, err
+}
+
+// Close implements Link.
+func (u *UDP) Close() error { return u.conn.Close() }
--- /dev/null
+++ b/client/request.go
@@ -0,0 +1,131 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	"egretdock/core/packet"
+)
+
+// request is one request in progress.
+type request struct {
+	// parts is nil until the first part arrives; then it has one entry for
+	// each part, nil while missing.
+	parts   [][]byte
+	missing int
+	// done is closed once answer and err are set.
+	done   chan struct{}
+	ended  bool
+	answer []byte
+	err    error
+}
+
+// maxParts bounds the parts of one answer, so that a damaged packet cannot
+// claim memory.
+const maxParts = 1 << 16
+
+// Do runs one request and returns its whole answer. The error is a
+// NotRunError or an UnknownError. When ctx ends first, the request is
+// cancelled and the upstream's word on it is awaited briefly.
+func (f *Flow) Do(ctx context.Context, payload []byte) ([]byte, error) {
+	id, r := f.begin()
+	defer f.end(id)
+	for attempt := uint32(1); ; attempt++ {
+		f.send(&packet.Request{ID: id, Attempt: attempt, Timeout: left(ctx), Payload: payload})
+		timer := time.NewTimer(f.c.interval(attempt))
+		select {
+		case <-r.done:
+			timer.Stop()
+			return r.answer, r.err
+		case <-f.broken:
+			timer.Stop()
+			return nil, &UnknownError{Attempts: attempt, Cause: f.cause()}
+		case <-ctx.Done():
+			timer.Stop()
+			return f.cancel(id, attempt, r)
+		case <-timer.C:
+		}
+	}
+}
+
+// cancelAttempts is the number of cancels that are sent before the outcome is
+// given up as unknown.
+const cancelAttempts = 3
+
+// cancel asks the upstream to give up a request and waits for its word.
+func (f *Flow) cancel(id uint64, attempts uint32, r *request) ([]byte, error) {
+	for n := uint32(1); n <= cancelAttempts; n++ {
+		f.send(&packet.Cancel{ID: id, Attempt: attempts, Reason: packet.ReasonCancelled})
+		timer := time.NewTimer(f.c.interval(n))
+		select {
+		case <-r.done:
+			timer.Stop()
+			return r.answer, r.err
+		case <-f.broken:
+			timer.Stop()
+			return nil, &UnknownError{Attempts: attempts, Cause: f.cause()}
+		case <-timer.C:
+		}
+	}
+	return nil, &UnknownError{Attempts: attempts, Cause: errNoReply}
+}
+
+func (f *Flow) begin() (uint64, *request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nextID++
+	r := &request{done: make(chan struct{})}
+	f.requests[f.nextID] = r
+	return f.nextID, r
+}
+
+func (f *Flow) end(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.requests, id)
+}
+
+func (f *Flow) cause() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reason
+}
+
+func (f *Flow) withRequest(id uint64, fn func(*request)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.requests[id]; ok {
+		fn(r)
+	}
+}
+
+// addPart adds one part; parts may come in any order and more than once.
+func (r *request) addPart(a *packet.Answer) {
+	if r.ended || a.Parts == 0 || a.Parts > maxParts || a.Part >= a.Parts {
+		return
+	}
+	if r.parts == nil {
+		r.parts = make([][]byte, a.Parts)
+		r.missing = int(a.Parts)
+	}
+	if len(r.parts) != int(a.Parts) || r.parts[a.Part] != nil {
+		return
+	}
+	r.parts[a.Part] = append([]byte{}, a.Payload...)
+	if r.missing--; r.missing > 0 {
+		return
+	}
+	var whole []byte
+	for _, p := range r.parts {
+		whole = append(whole, p...)
+	}
+	r.finish(whole, nil)
+}
+
+func (r *request) finish(answer []byte, err error) {
+	if r.ended {
+		return
+	}
+	r.ended, r.answer, r.err = true, answer, err
+	close(r.done)
+}
--- /dev/null
+++ b/core/cmds/admit.go
@@ -0,0 +1,138 @@
+package cmds
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"egretdock/core/admit"
+	"egretdock/core/input"
+	"egretdock/core/locks"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/table"
+)
+
+const (
+	// DrainGrace is how long a draining upstream still gets new requests on
+	// flows that are already open. The stated bound is 3 s; the rest covers
+	// the time until the owner learns of the drain.
+	DrainGrace = 2 * time.Second
+	// maxPending bounds the entries of one upstream: its connections, each
+	// with one request in progress.
+	maxPending = 8192
+	// maxUploads bounds the uploads in progress at one upstream. 16 keep 2
+	// slots busy while clients send their chunks, and their final requests fit
+	// the queue, so that an upload that was let in is not refused at its end.
+	maxUploads = model.DefaultQueueLimit
+	// unavailable is the queue length reported for an upstream that must not
+	// get new flows, so that any other candidate is better.
+	unavailable = math.MaxUint32
+)
+
+// Open asks for a new flow at an upstream that this balancer owns.
+func Open(h *locks.Holder, now time.Time, st *table.Upstream, r input.Relay, it admit.Item, rnd *rand.Rand) Result {
+	st.Lock(h)
+	defer st.Unlock(h)
+	if p, ok := st.Pending[it.Key]; ok {
+		return repeat(p, r)
+	}
+	if !st.DrainingSince.IsZero() || st.Unhealthy {
+		return Pass{Queue: unavailable}
+	}
+	if len(st.Pending) >= maxPending {
+		return Reject{Reason: packet.ReasonOverload, RetryAfter: time.Second}
+	}
+	switch it.Class.Kind {
+	case model.KindFeed:
+		add(st, it, &table.Pending{Relay: clone(r), State: table.PendingForwarded, Sent: now, Slotless: true})
+		return Forward{Relay: r}
+	case model.KindUpload:
+		return openUpload(now, st, r, it)
+	case model.KindRequest:
+	}
+	if load := st.Admit.Load(); !r.Forced && !load.HasRoom() {
+		return Pass{Queue: uint32(load.Queued)}
+	}
+	return offer(now, st, r, it, rnd)
+}
+
+// openUpload lets an upload begin. Its entry stays until the final request is
+// answered, the client closes the flow, or the deadline passes.
+func openUpload(now time.Time, st *table.Upstream, r input.Relay, it admit.Item) Result {
+	if st.Uploads >= maxUploads {
+		if r.Forced {
+			return Reject{Reason: packet.ReasonOverload, RetryAfter: time.Second}
+		}
+		return Pass{Queue: uint32(st.Uploads)}
+	}
+	st.Uploads++
+	add(st, it, &table.Pending{Relay: clone(r), State: table.PendingForwarded, Sent: now, Slotless: true, Upload: true})
+	return Forward{Relay: r}
+}
+
+// Request asks to run a request on an established flow of an upstream that
+// this balancer owns. A Reject is not final until the upstream has confirmed
+// that no copy of the request ran.
+func Request(h *locks.Holder, now time.Time, st *table.Upstream, r input.Relay, it admit.Item, rnd *rand.Rand) Result {
+	st.Lock(h)
+	defer st.Unlock(h)
+	if p, ok := st.Pending[it.Key]; ok {
+		return repeat(p, r)
+	}
+	open := admit.Key{Flow: it.Key.Flow}
+	if st.Admit.Transfer(open, it.Key) {
+		st.Drop(open)
+		add(st, it, &table.Pending{Relay: clone(r), State: table.PendingForwarded, Sent: now})
+		return Forward{Relay: r}
+	}
+	if it.Class.Kind == model.KindRequest && drained(st, now) {
+		return Reject{Reason: packet.ReasonDraining}
+	}
+	if len(st.Pending) >= maxPending {
+		return Reject{Reason: packet.ReasonOverload, RetryAfter: time.Second}
+	}
+	return offer(now, st, r, it, rnd)
+}
+
+func drained(st *table.Upstream, now time.Time) bool {
+	return !st.DrainingSince.IsZero() && now.Sub(st.DrainingSince) >= DrainGrace
+}
+
+// repeat handles another copy of work that is already pending. A forwarded
+// packet is forwarded again, because the first copy or its answer may be lost;
+// the upstream runs it once.
+func repeat(p *table.Pending, r input.Relay) Result {
+	p.Relay = clone(r)
+	if p.State == table.PendingQueued {
+		return Wait{}
+	}
+	return Forward{Relay: r}
+}
+
+func offer(now time.Time, st *table.Upstream, r input.Relay, it admit.Item, rnd *rand.Rand) Result {
+	switch v := st.Admit.Offer(now, it, rnd).(type) {
+	case admit.Granted:
+		add(st, it, &table.Pending{Relay: clone(r), State: table.PendingForwarded, Sent: now})
+		return Forward{Relay: r}
+	case admit.Queued:
+		add(st, it, &table.Pending{Relay: clone(r), State: table.PendingQueued})
+		return Wait{}
+	case admit.Rejected:
+		return Reject{Reason: v.Reason, RetryAfter: v.RetryAfter}
+	}
+	return Reject{Reason: packet.ReasonOverload}
+}
+
+func add(st *table.Upstream, it admit.Item, p *table.Pending) {
+	if st.Pending == nil {
+		st.Pending = make(map[admit.Key]*table.Pending)
+	}
+	p.Expires = it.Deadline
+	st.Pending[it.Key] = p
+}
+
+func clone(r input.Relay) input.Relay {
+	r.Packet = r.Packet.Clone()
+	return r
+}
--- /dev/null
+++ b/core/cmds/finish.go
@@ -0,0 +1,190 @@
+package cmds
+
+import (
+	"time"
+
+	"egretdock/core/admit"
+	"egretdock/core/input"
+	"egretdock/core/locks"
+	"egretdock/core/packet"
+	"egretdock/core/table"
+)
+
+// Accepted records that the upstream accepted a flow. The grant stays until
+// the first request or until it lapses; a feed needs none.
+func Accepted(h *locks.Holder, st *table.Upstream, flow uint64) {
+	st.Lock(h)
+	defer st.Unlock(h)
+	k := admit.Key{Flow: flow}
+	p, ok := st.Pending[k]
+	if !ok {
+		return
+	}
+	if p.Slotless && !p.Upload {
+		st.Drop(k)
+		return
+	}
+	p.State = table.PendingAccepted
+}
+
+// Answered records that the upstream ran a request and returns the queued work
+// that is forwarded now.
+func Answered(h *locks.Holder, now time.Time, st *table.Upstream, k admit.Key) []input.Relay {
+	st.Lock(h)
+	defer st.Unlock(h)
+	p, ok := st.Pending[k]
+	if !ok || p.State == table.PendingQueued {
+		return nil
+	}
+	st.Admit.Finish(now, k, admit.Answered{Latency: now.Sub(p.Sent)})
+	st.Drop(k)
+	if open := (admit.Key{Flow: k.Flow}); st.Pending[open] != nil && st.Pending[open].Upload {
+		st.Drop(open)
+	}
+	return release(now, st)
+}
+
+// Closed releases what the opening of a flow still holds and returns the
+// queued work that is forwarded now.
+func Closed(h *locks.Holder, now time.Time, st *table.Upstream, flow uint64) []input.Relay {
+	st.Lock(h)
+	defer st.Unlock(h)
+	k := admit.Key{Flow: flow}
+	p, ok := st.Pending[k]
+	if !ok {
+		return nil
+	}
+	giveUp(now, st, k, p)
+	return release(now, st)
+}
+
+// giveUp ends an entry without a word from the upstream.
+func giveUp(now time.Time, st *table.Upstream, k admit.Key, p *table.Pending) {
+	switch {
+	case p.State == table.PendingQueued:
+		st.Admit.Remove(k)
+	case !p.Slotless:
+		st.Admit.Finish(now, k, admit.Abandoned{})
+	}
+	st.Drop(k)
+}
+
+// Refused records that the upstream refused work. It returns the refused entry
+// when this balancer had forwarded it, and the queued work that is forwarded
+// now.
+func Refused(h *locks.Holder, now time.Time, st *table.Upstream, k admit.Key, reason packet.Reason) (*table.Pending, []input.Relay) {
+	st.Lock(h)
+	defer st.Unlock(h)
+	if reason == packet.ReasonDraining {
+		drain(st, now)
+	}
+	p, ok := st.Pending[k]
+	if !ok {
+		return nil, nil
+	}
+	if p.State == table.PendingQueued {
+		st.Admit.Remove(k)
+	} else if !p.Slotless {
+		st.Admit.Finish(now, k, outcome(reason))
+	}
+	st.Drop(k)
+	return p, release(now, st)
+}
+
+func outcome(reason packet.Reason) admit.Outcome {
+	if reason == packet.ReasonShed {
+		return admit.Shed{}
+	}
+	return admit.Abandoned{}
+}
+
+// Cancel drops a queued request. The caller must still cancel it at the
+// upstream, since another copy may have been forwarded elsewhere.
+func Cancel(h *locks.Holder, st *table.Upstream, k admit.Key) {
+	st.Lock(h)
+	defer st.Unlock(h)
+	if st.Admit.Remove(k) {
+		st.Drop(k)
+	}
+}
+
+// Swept is what Sweep found at one upstream.
+type Swept struct {
+	// Forward is queued work that is forwarded now.
+	Forward []input.Relay
+	// Dropped is queued work that ended without being forwarded.
+	Dropped []Dropped
+	// Poll is true when the health endpoint should be asked.
+	Poll bool
+}
+
+// PollInterval is the interval between two questions to a health endpoint. A
+// drain that only the endpoint tells is seen within it and the endpoint's lag.
+const PollInterval = 500 * time.Millisecond
+
+// Dropped is queued work that is refused.
+type Dropped struct {
+	Relay      input.Relay
+	Reason     packet.Reason
+	RetryAfter time.Duration
+}
+
+// Sweep lets time pass at one upstream: it drops queued work past its
+// deadline, gives up on forwarded work without an answer, and forwards queued
+// work for which capacity is free.
+func Sweep(h *locks.Holder, now time.Time, st *table.Upstream) Swept {
+	st.Lock(h)
+	defer st.Unlock(h)
+	var out Swept
+	for _, d := range st.Admit.Expire(now) {
+		if p, ok := st.Pending[d.Item.Key]; ok {
+			st.Drop(d.Item.Key)
+			out.Dropped = append(out.Dropped, Dropped{Relay: p.Relay, Reason: d.Reason, RetryAfter: d.RetryAfter})
+		}
+	}
+	for k, p := range st.Pending {
+		if p.State != table.PendingQueued && lapsed(now, p) {
+			giveUp(now, st, k, p)
+		}
+	}
+	out.Forward = release(now, st)
+	if out.Poll = !now.Before(st.NextPoll); out.Poll {
+		st.NextPoll = now.Add(PollInterval)
+	}
+	return out
+}
+
+// GrantLifetime is how long an accepted flow holds capacity for its first
+// request. It covers several client round trips of 6 ms with retransmissions.
+const GrantLifetime = 500 * time.Millisecond
+
+func lapsed(now time.Time, p *table.Pending) bool {
+	if p.State == table.PendingAccepted && !p.Slotless && now.Sub(p.Sent) > GrantLifetime {
+		return true
+	}
+	return now.After(p.Expires)
+}
+
+// release grants queued work while there is capacity.
+func release(now time.Time, st *table.Upstream) []input.Relay {
+	var out []input.Relay
+	for {
+		it, ok := st.Admit.Pop(now)
+		if !ok {
+			return out
+		}
+		p, ok := st.Pending[it.Key]
+		if !ok {
+			st.Admit.Finish(now, it.Key, admit.Abandoned{})
+			continue
+		}
+		p.State, p.Sent = table.PendingForwarded, now
+		out = append(out, p.Relay)
+	}
+}
+
+func drain(st *table.Upstream, now time.Time) {
+	if st.DrainingSince.IsZero() {
+		st.DrainingSince = now
+	}
+}
--- /dev/null
+++ b/core/engine/client.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"time"
+
+	"egretdock/core/effect"
+	"egretdock/core/input"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/query"
+	"egretdock/core/table"
+)
+
+// probeLifetime is how long a packet of unknown route waits for the reply of a
+// candidate. A round trip to an upstream takes about 3 ms.
+const probeLifetime = 500 * time.Millisecond
+
+func (e *Engine) fromClient(w *Work, now time.Time, p *packet.Packet) {
+	v := e.Tables.View()
+	b, class, reason := query.Bind(v, p.Address)
+	if reason != packet.ReasonNone {
+		e.unbound(w, p, reason)
+		return
+	}
+	switch body := p.Body.(type) {
+	case *packet.Open:
+		e.openFromClient(w, now, b, p, body)
+	case *packet.Request, *packet.Cancel, *packet.Data, *packet.Ack, *packet.Close:
+		e.onFlow(w, now, v, b, class.Kind, p)
+	case *packet.Accept, *packet.Answer, *packet.Refuse, *packet.Reset:
+		w.Out.Add(&effect.Event{Name: "packet_dropped", Flow: p.Flow, Customer: b.Params.Customer, Detail: "client sent a packet of an upstream"})
+	}
+}
+
+// unbound refuses the opening of a flow for an unknown address. Other packets
+// are dropped: a request may have run elsewhere, so nothing can be said of it.
+func (e *Engine) unbound(w *Work, p *packet.Packet, reason packet.Reason) {
+	if o, ok := p.Body.(*packet.Open); ok {
+		refuse(w, *p, o, reason, time.Second)
+		return
+	}
+	w.Out.Add(&effect.Event{Name: "packet_dropped", Flow: p.Flow, Detail: reason.String()})
+}
+
+func (e *Engine) openFromClient(w *Work, now time.Time, b *table.Binding, p *packet.Packet, o *packet.Open) {
+	if e.Tables.Leaving.Load() {
+		refuse(w, *p, o, packet.ReasonShutdown, 0)
+		return
+	}
+	c := b.Pool.Placement(p.Flow)
+	first := c.At(0)
+	if first == nil {
+		refuse(w, *p, o, packet.ReasonNoUpstream, time.Second)
+		return
+	}
+	e.toOwner(w, now, input.Relay{Packet: *p, Target: first.Endpoint})
+}
+
+// onFlow routes a packet of an established flow.
+func (e *Engine) onFlow(w *Work, now time.Time, v *table.View, b *table.Binding, kind model.ClassKind, p *packet.Packet) {
+	r, how := query.Route(&e.Tables, v, &w.locks, now, b, p)
+	switch how {
+	case query.LookupRouted:
+		p.Route = r
+		e.forward(w, now, kind, p)
+	case query.LookupSearch:
+		e.search(w, now, b, *p, 0)
+	case query.LookupForeign:
+		w.Out.Add(&effect.Event{Name: "route_refused", Flow: p.Flow, Customer: b.Params.Customer, Upstream: r.Endpoint.String(), Detail: "endpoint is not in the service of the address"})
+		reset(w, *p, packet.ReasonUnknownFlow)
+	}
+}
+
+// forward sends a routed packet on: what concerns admission through the owner
+// of the upstream, everything else straight to the upstream.
+func (e *Engine) forward(w *Work, now time.Time, kind model.ClassKind, p *packet.Packet) {
+	_, closing := p.Body.(*packet.Close)
+	if admitted(p.Body) || closing && kind != model.KindFeed {
+		e.toOwner(w, now, input.Relay{Packet: *p, Target: p.Route.Endpoint})
+		return
+	}
+	w.Out.ToUpstream(p.Route.Endpoint, *p)
+}
+
+// admitted reports whether a packet of an established flow is subject to
+// admission.
+func admitted(b packet.Body) bool {
+	switch b.(type) {
+	case *packet.Request, *packet.Cancel:
+		return true
+	default:
+		return false
+	}
+}
+
+// search tries a packet of unknown route at candidate number tried. The reset
+// of a candidate proves that the flow is not there.
+func (e *Engine) search(w *Work, now time.Time, b *table.Binding, p packet.Packet, tried int) {
+	c := b.Pool.Search(p.Flow)
+	u := c.At(tried)
+	if u == nil {
+		reset(w, p, packet.ReasonUnknownFlow)
+		return
+	}
+	if admitted(p.Body) {
+		e.toOwner(w, now, input.Relay{Packet: p, Target: u.Endpoint, Tried: uint8(tried)})
+		return
+	}
+	id, _ := requestOf(p.Body)
+	k := table.ProbeKey{FlowKey: table.FlowKey{Flow: p.Flow, Binding: b.ID}, Request: id}
+	pr := &table.Probe{Packet: p.Clone(), Tried: tried, Target: u.Endpoint, Expires: now.Add(probeLifetime)}
+	if e.Tables.Probes.Put(&w.locks, k, pr) {
+		w.Out.ToUpstream(u.Endpoint, p)
+	}
+}
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -39,6 +39,9 @@
 	Target netip.AddrPort
 	// Tried is the number of placement candidates tried before Target.
 	Tried uint8
+	// Hops counts the balancers that have relayed the packet. While members
+	// disagree on the owner, it ends the exchange after MaxHops.
+	Hops uint8
 	// Forced is set on the last hop: the receiver queues or refuses the
 	// packet and does not pass it on.
 	Forced bool
@@ -47,6 +50,11 @@
 	BestQueue uint32
 }
 
+// MaxHops is the number of times that a packet is relayed at most. It allows
+// three placement candidates, the return to the best of them, and two
+// redirections by balancers with another view of the members.
+const MaxHops = 6
+
 // Gossip is a membership message from another balancer.
 type Gossip struct {
 	Message member.Message
--- /dev/null
+++ b/core/table/upstream.go
@@ -0,0 +1,90 @@
+package table
+
+import (
+	"net/netip"
+	"time"
+
+	"egretdock/core/admit"
+	"egretdock/core/input"
+	"egretdock/core/locks"
+	"egretdock/core/packet"
+)
+
+// Upstream is the state that a balancer keeps of one upstream endpoint. All
+// fields are protected by the lock of rank upstreams. The zero value is an
+// upstream of which nothing is known.
+type Upstream struct {
+	mu locks.Mutex
+
+	// Admit is the admission state of the current incarnation.
+	Admit admit.Upstream
+	// Pending holds the work that this balancer has queued or forwarded. An
+	// entry is queued exactly when Admit holds it in its queue.
+	Pending map[admit.Key]*Pending
+	// Incarnation is the newest incarnation seen; 0 before the first packet.
+	Incarnation uint64
+	// DrainingSince is when the upstream was first seen draining in this
+	// incarnation; zero when it is not.
+	DrainingSince time.Time
+	// Unhealthy is true after reports or traffic have shown a failure.
+	Unhealthy bool
+	// NextPoll is when the health endpoint is asked again.
+	NextPoll time.Time
+	// Uploads counts the entries of Pending with Upload set.
+	Uploads int
+}
+
+// Lock takes the upstream's lock.
+func (u *Upstream) Lock(h *locks.Holder) { u.mu.Lock(h, locks.RankUpstreams) }
+
+// Unlock releases the upstream's lock.
+func (u *Upstream) Unlock(h *locks.Holder) { u.mu.Unlock(h, locks.RankUpstreams) }
+
+// Drop removes an entry of Pending.
+func (u *Upstream) Drop(k admit.Key) {
+	if p, ok := u.Pending[k]; ok && p.Upload {
+		u.Uploads--
+	}
+	delete(u.Pending, k)
+}
+
+// PendingState is the progress of a unit of work at the owner.
+type PendingState uint8
+
+// Pending states.
+const (
+	// PendingQueued waits for capacity; its packet was not forwarded.
+	PendingQueued PendingState = iota
+	// PendingForwarded was sent to the upstream.
+	PendingForwarded
+	// PendingAccepted is an opening that the upstream accepted; its grant
+	// waits for the first request.
+	PendingAccepted
+)
+
+// Pending is one unit of work at the owner.
+type Pending struct {
+	// Relay is the newest copy of the packet, independent of any read buffer.
+	Relay input.Relay
+	State PendingState
+	// Sent is when the packet was first forwarded.
+	Sent time.Time
+	// Expires is when the entry is given up.
+	Expires time.Time
+	// Slotless is true for the opening of feeds and uploads, which holds no
+	// capacity of Admit.
+	Slotless bool
+	// Upload is true for the opening of an upload.
+	Upload bool
+}
+
+// Probe is a packet of unknown route that is being tried at one candidate
+// after another.
+type Probe struct {
+	Packet packet.Packet
+	// Tried is the index of the candidate that the packet was last sent to.
+	Tried int
+	// Target is that candidate's endpoint.
+	Target  netip.AddrPort
+	Expires time.Time
+}
--- /dev/null
+++ b/core/table/view.go
@@ -0,0 +1,208 @@
+package table
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"egretdock/core/model"
+)
+
+// Binding joins one customer's parameters with its template and upstreams. It
+// is immutable.
+type Binding struct {
+	Params   model.Params
+	Template model.Template
+	Pool     *Pool
+	// ID is the same in all views for one customer and service address; it is
+	// never 0.
+	ID uint32
+}
+
+// Class returns the class that serves a port, with the customer's priority.
+func (b *Binding) Class(port uint16) (model.Class, bool) {
+	c, ok := b.Template.Class(port)
+	if !ok {
+		return model.Class{}, false
+	}
+	if p, set := b.Params.Priority[c.Name]; set {
+		c = c.WithPriority(p)
+	}
+	return c, true
+}
+
+// Place says which service an upstream endpoint belongs to.
+type Place struct {
+	Upstream model.Upstream
+	// Service is the template name.
+	Service string
+	// Retired is the revision that removed the endpoint, or 0 while it is in
+	// use.
+	Retired uint64
+	// State is shared by all views while the endpoint stays in one service.
+	State *Upstream
+}
+
+// View is the routing view of one configuration revision. It is immutable,
+// except that Place.State points to a table entry with its own lock.
+type View struct {
+	Config   model.Config
+	bindings map[netip.Addr]*Binding
+	places   map[netip.AddrPort]*Place
+	ids      map[string]uint32
+}
+
+// Binding returns the binding of a service address.
+func (v *View) Binding(a netip.Addr) (*Binding, bool) {
+	b, ok := v.bindings[a]
+	return b, ok
+}
+
+// Place returns the place of an upstream endpoint.
+func (v *View) Place(ep netip.AddrPort) (*Place, bool) {
+	p, ok := v.places[ep]
+	return p, ok
+}
+
+// Places returns all places; users must not modify the map.
+func (v *View) Places() map[netip.AddrPort]*Place { return v.places }
+
+// NextView builds the view of cfg. Pools and upstream states are taken over
+// from prev where nothing changed, so that a change costs what it touches.
+func NextView(prev *View, cfg model.Config) *View {
+	v := &View{
+		Config:   cfg,
+		bindings: make(map[netip.Addr]*Binding, len(prev.bindings)),
+		places:   make(map[netip.AddrPort]*Place, len(prev.places)),
+		ids:      make(map[string]uint32, len(prev.ids)),
+	}
+	b := builder{prev: prev, next: v, pools: make(map[poolKey]*Pool), lastID: uint32(len(prev.ids))}
+	for name, id := range prev.ids {
+		v.ids[name] = id
+	}
+	for _, name := range cfg.Customers() {
+		b.bind(name)
+	}
+	b.retire()
+	return v
+}
+
+type poolKey struct {
+	prev  *Pool
+	names string
+}
+
+type builder struct {
+	prev, next *View
+	pools      map[poolKey]*Pool
+	lastID     uint32
+}
+
+func (b *builder) bind(customer string) {
+	params, _ := b.next.Config.Params(customer)
+	tmpl, ok := b.next.Config.Template(params.Template)
+	if !ok || len(params.Upstreams) == 0 {
+		return
+	}
+	bind := &Binding{Params: params, Template: tmpl, ID: b.id(customer + "@" + params.Address.String())}
+	bind.Pool = b.pool(customer, params)
+	b.next.bindings[params.Address] = bind
+	for _, u := range params.Upstreams {
+		b.place(u, tmpl.Name)
+	}
+}
+
+func (b *builder) id(key string) uint32 {
+	id, ok := b.next.ids[key]
+	if !ok {
+		b.lastID++
+		id = b.lastID
+		b.next.ids[key] = id
+	}
+	return id
+}
+
+// pool reuses the customer's previous pool when its upstreams are unchanged.
+// Customers with the same history and the same new upstreams share a pool.
+func (b *builder) pool(customer string, params model.Params) *Pool {
+	old := b.previous(customer, params)
+	if old != nil && old.sameAs(params.Upstreams) {
+		return old
+	}
+	key := poolKey{prev: old, names: signature(params.Upstreams)}
+	if p, ok := b.pools[key]; ok {
+		return p
+	}
+	p := newPool(params.Upstreams)
+	if old != nil {
+		p = p.withHistory(old)
+	}
+	b.pools[key] = p
+	return p
+}
+
+// previous returns the pool that served the customer for the same template; a
+// pool of another template must not lend its history.
+func (b *builder) previous(customer string, params model.Params) *Pool {
+	was, ok := b.prev.Config.Params(customer)
+	if !ok || was.Template != params.Template {
+		return nil
+	}
+	bind, ok := b.prev.bindings[was.Address]
+	if !ok || bind.Params.Customer != customer {
+		return nil
+	}
+	return bind.Pool
+}
+
+func (b *builder) place(u model.Upstream, service string) {
+	if _, ok := b.next.places[u.Endpoint]; ok {
+		return
+	}
+	p := &Place{Upstream: u, Service: service}
+	if old, ok := b.prev.places[u.Endpoint]; ok && old.Service == service && old.Upstream.Name == u.Name {
+		p.State = old.State
+	} else {
+		p.State = &Upstream{}
+	}
+	b.next.places[u.Endpoint] = p
+}
+
+// MaxRetired bounds the endpoints that are remembered after they left the
+// configuration.
+const MaxRetired = 8192
+
+// retire keeps the places of upstreams that were removed, so that established
+// flows still reach them. An endpoint that another service uses now is not
+// kept. When there are too many, those that left first are forgotten.
+func (b *builder) retire() {
+	var gone []*Place
+	for ep, old := range b.prev.places {
+		if _, ok := b.next.places[ep]; !ok {
+			p := *old
+			if p.Retired == 0 {
+				p.Retired = b.next.Config.Revision
+			}
+			gone = append(gone, &p)
+		}
+	}
+	if len(gone) > MaxRetired {
+		slices.SortFunc(gone, func(x, y *Place) int { return cmp.Compare(y.Retired, x.Retired) })
+		gone = gone[:MaxRetired]
+	}
+	for _, p := range gone {
+		b.next.places[p.Upstream.Endpoint] = p
+	}
+}
+
+func signature(us []model.Upstream) string {
+	var sb strings.Builder
+	for _, u := range us {
+		sb.WriteString(u.Name)
+		sb.WriteByte('=')
+		sb.WriteString(u.Endpoint.String())
+		sb.WriteByte(' ')
+	}
+	return sb.String()
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,152 @@
+// Package daemon runs one balancer process: it joins the engine with sockets,
+// timers and the pollers of upstream health.
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"egretdock/core/effect"
+	"egretdock/core/engine"
+	"egretdock/core/input"
+	"egretdock/core/model"
+	"egretdock/core/worker"
+	"egretdock/io/dgram"
+	"egretdock/io/wire"
+)
+
+// Config is what a balancer needs to start.
+type Config struct {
+	// Self names the balancer. Its Peer address is replaced by the bound one.
+	Self model.Balancer
+	// Clients, Upstreams and Peers are the addresses to bind; port 0 selects a
+	// free port. They must differ.
+	Clients, Upstreams, Peers netip.AddrPort
+	// Key is the fleet key, at least 16 bytes; it is never logged.
+	Key []byte
+	// Workers is the number of workers on each of the client and upstream
+	// sockets; 0 means 1.
+	Workers int
+	// Seed starts the random sources.
+	Seed uint64
+	// Events receives the events of the engine; may be nil. It must not block.
+	Events func(*effect.Event)
+}
+
+// queueLength bounds the control inputs that wait for the control worker.
+const queueLength = 256
+
+// Daemon is one balancer.
+type Daemon struct {
+	cfg     Config
+	engine  engine.Engine
+	sockets dgram.Sockets
+	poller  *poller
+	queue   *worker.Queue
+
+	// Counters count datagrams that were dropped before the engine.
+	Counters dgram.Counters
+}
+
+// New binds the sockets of a balancer.
+func New(cfg Config) (*Daemon, error) {
+	if _, err := wire.NewSealer(cfg.Key); err != nil {
+		return nil, err
+	}
+	d := &Daemon{cfg: cfg}
+	var err error
+	bind := func(a netip.AddrPort) *dgram.Socket {
+		if err != nil {
+			return nil
+		}
+		var s *dgram.Socket
+		s, err = dgram.Listen(a)
+		return s
+	}
+	d.sockets = dgram.Sockets{Clients: bind(cfg.Clients), Upstreams: bind(cfg.Upstreams), Peers: bind(cfg.Peers)}
+	if err != nil {
+		d.sockets.Close()
+		return nil, err
+	}
+	d.engine.Self = cfg.Self
+	d.engine.Self.Peer = d.sockets.Peers.Addr()
+	d.poller = newPoller()
+	return d, nil
+}
+
+// Self returns the balancer with its bound peer address.
+func (d *Daemon) Self() model.Balancer { return d.engine.Self }
+
+// ClientAddr returns the address that clients send to.
+func (d *Daemon) ClientAddr() netip.AddrPort { return d.sockets.Clients.Addr() }
+
+// Revision returns the configuration revision in force.
+func (d *Daemon) Revision() uint64 { return d.engine.Tables.View().Config.Revision }
+
+// Run serves until ctx is cancelled. Inputs before Run starts are not allowed.
+func (d *Daemon) Run(ctx context.Context, inputs <-chan input.Input) error {
+	g, ctx := errgroup.WithContext(ctx)
+	d.queue = worker.NewQueue(ctx, queueLength)
+	pool := worker.Pool{Engine: &d.engine, Now: time.Now, Seed: d.cfg.Seed}
+	g.Go(func() error { return pool.Run(ctx, d.sources(), d.sink) })
+	g.Go(func() error { return d.tick(ctx, inputs) })
+	g.Go(func() error { return d.poller.run(ctx, d.queue.Push) })
+	g.Go(func() error {
+		<-ctx.Done()
+		d.sockets.Close()
+		return nil
+	})
+	return g.Wait()
+}
+
+func (d *Daemon) sealer() *wire.Sealer {
+	s, err := wire.NewSealer(d.cfg.Key)
+	if err != nil {
+		panic("daemon: key was checked by New: " + err.Error())
+	}
+	return s
+}
+
+func (d *Daemon) sources() []worker.Source {
+	out := []worker.Source{d.queue, dgram.NewPeers(d.sockets.Peers, d.sealer(), &d.Counters)}
+	for range max(1, d.cfg.Workers) {
+		out = append(out,
+			dgram.NewClients(d.sockets.Clients, d.sealer(), &d.Counters),
+			dgram.NewUpstreams(d.sockets.Upstreams, &d.Counters))
+	}
+	return out
+}
+
+func (d *Daemon) sink() worker.Sink { return dgram.NewSink(d.sockets, d.sealer(), d.other) }
+
+// other carries out the effects that are not datagrams.
+func (d *Daemon) other(e effect.Effect) {
+	switch e := e.(type) {
+	case *effect.Event:
+		if d.cfg.Events != nil {
+			d.cfg.Events(e)
+		}
+	case *effect.Poll:
+		d.poller.ask(e.Upstream)
+	case *effect.Gossip, *effect.Fetch, *effect.ToUpstream, *effect.ToClient, *effect.ToPeer:
+	}
+}
+
+// tick feeds the control worker with time and with the inputs from outside.
+func (d *Daemon) tick(ctx context.Context, inputs <-chan input.Input) error {
+	t := time.NewTicker(input.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			d.queue.Push(&input.Tick{})
+		case in := <-inputs:
+			d.queue.Push(in)
+		}
+	}
+}
--- /dev/null
+++ b/io/dgram/sink.go
@@ -0,0 +1,61 @@
+package dgram
+
+import (
+	"egretdock/core/effect"
+	"egretdock/io/wire"
+)
+
+// Sockets are the three UDP sockets of a balancer. They have different
+// addresses, so that a client cannot pass for an upstream or a peer.
+type Sockets struct {
+	Clients, Upstreams, Peers *Socket
+}
+
+// Close closes all sockets.
+func (s Sockets) Close() {
+	for _, one := range []*Socket{s.Clients, s.Upstreams, s.Peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// Sink sends packet effects as datagrams and hands all others to Other.
+type Sink struct {
+	clients, upstreams, peers *writer
+	sealer                    *wire.Sealer
+	other                     func(effect.Effect)
+}
+
+// NewSink returns a sink for one worker. other receives the effects that are
+// not datagrams; they may be kept.
+func NewSink(s Sockets, sealer *wire.Sealer, other func(effect.Effect)) *Sink {
+	return &Sink{
+		clients:   newWriter(s.Clients),
+		upstreams: newWriter(s.Upstreams),
+		peers:     newWriter(s.Peers),
+		sealer:    sealer,
+		other:     other,
+	}
+}
+
+// Put implements worker.Sink.
+func (s *Sink) Put(e effect.Effect) {
+	switch e := e.(type) {
+	case *effect.ToUpstream:
+		s.upstreams.add(e.To, func(b []byte) []byte { return wire.Append(b, &e.Packet) })
+	case *effect.ToClient:
+		s.clients.add(e.Packet.Client, func(b []byte) []byte { return s.sealer.AppendSealed(b, &e.Packet) })
+	case *effect.ToPeer:
+		s.peers.add(e.To, func(b []byte) []byte { return s.sealer.AppendRelay(append(b, peerRelay), &e.Relay) })
+	case *effect.Gossip, *effect.Poll, *effect.Fetch, *effect.Event:
+		s.other(e)
+	}
+}
+
+// Flush implements worker.Sink.
+func (s *Sink) Flush() {
+	s.clients.flush()
+	s.upstreams.flush()
+	s.peers.flush()
+}
--- /dev/null
+++ b/io/dgram/source.go
@@ -0,0 +1,111 @@
+package dgram
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"egretdock/core/fault"
+	"egretdock/core/input"
+	"egretdock/io/wire"
+)
+
+// Kinds of datagrams on the peer socket, in their first byte.
+const (
+	peerRelay  = 'r'
+	peerGossip = 'g'
+)
+
+// Counters count datagrams that were not passed to the engine.
+type Counters struct {
+	// Malformed counts datagrams that could not be decoded.
+	Malformed atomic.Int64
+	// Unauthentic counts forged or damaged tokens and tags.
+	Unauthentic atomic.Int64
+}
+
+func (c *Counters) count(err error) {
+	if fault.KindOf(err) == fault.KindUnauthentic {
+		c.Unauthentic.Add(1)
+		return
+	}
+	c.Malformed.Add(1)
+}
+
+// Clients reads packets from the client-facing socket.
+type Clients struct {
+	r      *reader
+	d      wire.Decoder
+	sealer *wire.Sealer
+	count  *Counters
+	in     input.FromClient
+}
+
+// NewClients returns a source for one worker.
+func NewClients(s *Socket, sealer *wire.Sealer, count *Counters) *Clients {
+	return &Clients{r: newReader(s), sealer: sealer, count: count}
+}
+
+// Read implements worker.Source.
+func (c *Clients) Read(fn func(input.Input)) error {
+	return c.r.read(func(source netip.AddrPort, b []byte) {
+		if err := c.d.DecodeClient(b, source, c.sealer, &c.in.Packet); err != nil {
+			c.count.count(err)
+			return
+		}
+		fn(&c.in)
+	})
+}
+
+// Upstreams reads packets from the upstream-facing socket.
+type Upstreams struct {
+	r     *reader
+	d     wire.Decoder
+	count *Counters
+	in    input.FromUpstream
+}
+
+// NewUpstreams returns a source for one worker.
+func NewUpstreams(s *Socket, count *Counters) *Upstreams {
+	return &Upstreams{r: newReader(s), count: count}
+}
+
+// Read implements worker.Source.
+func (u *Upstreams) Read(fn func(input.Input)) error {
+	return u.r.read(func(source netip.AddrPort, b []byte) {
+		if err := u.d.Decode(b, &u.in.Packet); err != nil {
+			u.count.count(err)
+			return
+		}
+		u.in.Source = source
+		fn(&u.in)
+	})
+}
+
+// Peers reads relays and gossip from the peer socket.
+type Peers struct {
+	r      *reader
+	d      wire.Decoder
+	sealer *wire.Sealer
+	count  *Counters
+	in     input.FromPeer
+}
+
+// NewPeers returns a source for one worker.
+func NewPeers(s *Socket, sealer *wire.Sealer, count *Counters) *Peers {
+	return &Peers{r: newReader(s), sealer: sealer, count: count}
+}
+
+// Read implements worker.Source.
+func (p *Peers) Read(fn func(input.Input)) error {
+	return p.r.read(func(_ netip.AddrPort, b []byte) {
+		if len(b) == 0 || b[0] != peerRelay {
+			p.count.Malformed.Add(1)
+			return
+		}
+		if err := p.d.DecodeRelay(b[1:], p.sealer, &p.in.Relay); err != nil {
+			p.count.count(err)
+			return
+		}
+		fn(&p.in)
+	})
+}
--- /dev/null
+++ b/io/emul/upstr/health.go
@@ -0,0 +1,47 @@
+package upstr
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Report is the body of the health and load endpoint.
+type Report struct {
+	Incarnation uint64 `json:"incarnation"`
+	Draining    bool   `json:"draining"`
+	Running     int    `json:"running"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+}
+
+func (s *Server) healthHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Report())
+	})
+	return mux
+}
+
+// Report returns what the health endpoint serves: a report that may be as old
+// as Config.ReportLag, or an invented one.
+func (s *Server) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); s.reported.IsZero() || now.Sub(s.reported) >= s.cfg.ReportLag {
+		s.reported = now
+		s.report = Report{
+			Incarnation: s.incarnation,
+			Draining:    s.draining,
+			Running:     s.running + len(s.queue),
+			Slots:       s.cfg.Slots,
+			Connections: len(s.conns),
+		}
+	}
+	r := s.report
+	if s.lying.Load() {
+		r.Running, r.Draining = 0, false
+	}
+	return r
+}
--- /dev/null
+++ b/io/emul/upstr/journal.go
@@ -0,0 +1,72 @@
+package upstr
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Run is one execution of a request.
+type Run struct {
+	Upstream    string
+	Incarnation uint64
+	Address     netip.AddrPort
+	Flow        uint64
+	Request     uint64
+	// Payload identifies the work; clients make it unique.
+	Payload string
+	At      time.Time
+}
+
+// Journal records the executions of all upstreams of a deployment. It is safe
+// for concurrent use; the zero value is empty.
+type Journal struct {
+	mu        sync.Mutex
+	runs      []Run
+	misrouted int
+	opened    map[string]time.Time
+}
+
+func (j *Journal) ran(r Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = append(j.runs, r)
+}
+
+func (j *Journal) misroute() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.misrouted++
+}
+
+// worked records the newest time at which an upstream took new work.
+func (j *Journal) worked(upstream string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.opened == nil {
+		j.opened = make(map[string]time.Time)
+	}
+	j.opened[upstream] = at
+}
+
+// Runs returns a copy of the executions so far.
+func (j *Journal) Runs() []Run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Run(nil), j.runs...)
+}
+
+// Misrouted returns the number of packets that reached an upstream of another
+// service or customer.
+func (j *Journal) Misrouted() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.misrouted
+}
+
+// LastNewWork returns when the upstream last took a new flow or request.
+func (j *Journal) LastNewWork(upstream string) time.Time {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.opened[upstream]
+}
--- /dev/null
+++ b/io/emul/upstr/server.go
@@ -0,0 +1,289 @@
+package upstr
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egretdock/core/fault"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/io/wire"
+)
+
+// Server is one running stand-in.
+type Server struct {
+	cfg    Config
+	conn   *net.UDPConn
+	health *http.Server
+	hlis   net.Listener
+	done   chan struct{}
+	wg     sync.WaitGroup
+
+	// lying makes the health endpoint report an idle, healthy upstream.
+	lying atomic.Bool
+
+	mu          sync.Mutex
+	rnd         *rand.Rand
+	incarnation uint64
+	conns       map[connKey]*connection
+	running     int
+	queue       []*job
+	draining    bool
+	// shedEvery refuses one of so many requests; 0 refuses none.
+	shedEvery int
+	seen      int
+	frozen    bool
+	report    Report
+	reported  time.Time
+}
+
+type connKey struct {
+	flow    uint64
+	address netip.AddrPort
+}
+
+// Start binds the sockets of a stand-in and serves until Close.
+func Start(cfg Config) (*Server, error) {
+	cfg = cfg.withDefaults()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "upstream "+cfg.Name+" cannot listen", "choose a free address")
+	}
+	_ = conn.SetReadBuffer(4 << 20)
+	lis, err := net.Listen("tcp", cfg.Health.String())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fault.Wrap(err, fault.KindInvalid, "upstream "+cfg.Name+" cannot serve its health endpoint", "choose a free address")
+	}
+	s := &Server{
+		cfg: cfg, conn: conn, hlis: lis, done: make(chan struct{}),
+		rnd:   rand.New(rand.NewPCG(cfg.Seed, 3)),
+		conns: make(map[connKey]*connection),
+	}
+	s.incarnation = uint64(time.Now().UnixNano())
+	s.health = &http.Server{Handler: s.healthHandler(), ReadHeaderTimeout: time.Second}
+	s.wg.Add(3)
+	go func() { defer s.wg.Done(); s.serve() }()
+	go func() { defer s.wg.Done(); s.sweep() }()
+	go func() { defer s.wg.Done(); _ = s.health.Serve(lis) }()
+	return s, nil
+}
+
+// Endpoint returns the address for flow packets.
+func (s *Server) Endpoint() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Health returns the address of the health endpoint.
+func (s *Server) Health() netip.AddrPort { return s.hlis.Addr().(*net.TCPAddr).AddrPort() }
+
+// Close stops the stand-in at once, as a crash would.
+func (s *Server) Close() {
+	close(s.done)
+	_ = s.conn.Close()
+	_ = s.health.Close()
+	s.wg.Wait()
+}
+
+// Drain makes the upstream refuse new flows, or accept them again.
+func (s *Server) Drain(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = on
+}
+
+// Shed makes the upstream refuse one of every n requests; 0 refuses none.
+func (s *Server) Shed(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedEvery = n
+}
+
+// Lie makes the health endpoint report an idle, healthy upstream.
+func (s *Server) Lie(on bool) { s.lying.Store(on) }
+
+// Freeze makes the upstream ignore packets, as a paused process would.
+func (s *Server) Freeze(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = on
+}
+
+// Restart forgets all connections and requests and starts a new incarnation at
+// the same endpoint.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnation = max(s.incarnation+1, uint64(time.Now().UnixNano()))
+	for key, c := range s.conns {
+		s.drop(key, c)
+	}
+	s.queue = nil
+	s.running = 0
+	s.draining = false
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) serve() {
+	var d wire.Decoder
+	buf := make([]byte, 1<<16)
+	for {
+		n, via, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		var p packet.Packet
+		if d.Decode(buf[:n], &p) != nil {
+			continue
+		}
+		s.mu.Lock()
+		if !s.frozen {
+			s.handle(&p, via)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// handle runs with the lock held.
+func (s *Server) handle(p *packet.Packet, via netip.AddrPort) {
+	if !s.cfg.Addresses[p.Address.Addr()] {
+		s.cfg.Journal.misroute()
+	}
+	key := connKey{p.Flow, p.Address}
+	c, ok := s.conns[key]
+	if o, opening := p.Body.(*packet.Open); opening {
+		s.open(key, c, p, o, via)
+		return
+	}
+	if !ok || c.handshake != p.Handshake || (p.Route.Incarnation != 0 && p.Route.Incarnation != s.incarnation) {
+		s.unknown(p, via)
+		return
+	}
+	c.via, c.client, c.seen = via, p.Client, time.Now()
+	switch b := p.Body.(type) {
+	case *packet.Request:
+		s.request(c, b)
+	case *packet.Cancel:
+		s.cancel(c, b)
+	case *packet.Data:
+		c.chunk(b)
+		s.send(c, &packet.Ack{Seq: c.received})
+	case *packet.Ack:
+	case *packet.Close:
+		s.drop(key, c)
+	case *packet.Open, *packet.Accept, *packet.Answer, *packet.Refuse, *packet.Reset:
+	}
+}
+
+func (s *Server) unknown(p *packet.Packet, via netip.AddrPort) {
+	r := &packet.Reset{Reason: packet.ReasonUnknownFlow}
+	switch b := p.Body.(type) {
+	case *packet.Request:
+		r.ID, r.Attempt = b.ID, b.Attempt
+	case *packet.Cancel:
+		r.ID, r.Attempt = b.ID, b.Attempt
+	case *packet.Close, *packet.Reset:
+		return
+	default:
+	}
+	s.reply(p.Header, via, r)
+}
+
+func (s *Server) open(key connKey, c *connection, p *packet.Packet, o *packet.Open, via netip.AddrPort) {
+	if c == nil {
+		reason := packet.ReasonNone
+		switch {
+		case s.draining:
+			reason = packet.ReasonDraining
+		case len(s.conns) >= s.cfg.Connections:
+			reason = packet.ReasonConnections
+		}
+		if reason != packet.ReasonNone {
+			s.reply(p.Header, via, &packet.Refuse{Attempt: o.Attempt, Reason: reason})
+			return
+		}
+		c = s.newConnection(key, p)
+		s.conns[key] = c
+		s.cfg.Journal.worked(s.cfg.Name, time.Now())
+	}
+	c.via, c.client, c.seen = via, p.Client, time.Now()
+	s.send(c, &packet.Accept{Load: s.load()})
+	if c.behaviour.Kind == model.KindFeed && c.stop == nil {
+		stop := make(chan struct{})
+		c.stop = stop
+		s.wg.Add(1)
+		go func() { defer s.wg.Done(); s.push(key, c, stop) }()
+	}
+}
+
+func (s *Server) load() uint32 { return uint32(s.running + len(s.queue)) }
+
+// push sends messages on a feed until its connection ends.
+func (s *Server) push(key connKey, c *connection, stop <-chan struct{}) {
+	t := time.NewTicker(c.behaviour.PushEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-stop:
+			return
+		case now := <-t.C:
+			s.mu.Lock()
+			if s.conns[key] == c && !s.frozen {
+				c.pushSeq++
+				s.send(c, &packet.Data{Seq: c.pushSeq, Payload: []byte(now.Format(time.RFC3339Nano))})
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *Server) drop(key connKey, c *connection) {
+	delete(s.conns, key)
+	if c.stop != nil {
+		close(c.stop)
+		c.stop = nil
+	}
+}
+
+// sweep drops idle connections.
+func (s *Server) sweep() {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-t.C:
+			s.mu.Lock()
+			for key, c := range s.conns {
+				if now.Sub(c.seen) > s.cfg.Idle {
+					s.drop(key, c)
+				}
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// send answers on a connection, through the balancer that was heard last.
+func (s *Server) send(c *connection, b packet.Body) {
+	s.reply(packet.Header{Flow: c.flow, Address: c.address, Client: c.client, Handshake: c.handshake}, c.via, b)
+}
+
+func (s *Server) reply(h packet.Header, via netip.AddrPort, b packet.Body) {
+	h.Route = packet.Route{Incarnation: s.incarnation}
+	p := packet.Packet{Header: h, Body: b}
+	// The datagram may be lost like any other.
+	_, _ = s.conn.WriteToUDPAddrPort(wire.Append(nil, &p), via)
+}
--- /dev/null
+++ b/io/wire/relay.go
@@ -0,0 +1,130 @@
+package wire
+
+import (
+	"crypto/hmac"
+	"encoding/binary"
+	"math"
+	"net/netip"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"egretdock/core/input"
+	"egretdock/core/packet"
+)
+
+// Field numbers of Relay in packet.proto.
+const (
+	relayPacket    = 1
+	relayTarget    = 2
+	relayRoute     = 3
+	relayTried     = 4
+	relayHops      = 5
+	relayForced    = 6
+	relayBest      = 7
+	relayBestQueue = 8
+)
+
+// AppendRelay encodes a relay behind its authentication tag.
+func (s *Sealer) AppendRelay(dst []byte, r *input.Relay) []byte {
+	at := len(dst)
+	dst = append(dst, padding[:tagSize]...)
+	dst = appendBytes(dst, relayPacket, Append(nil, &r.Packet))
+	dst = appendAddrField(dst, relayTarget, r.Target)
+	if !r.Packet.Route.IsZero() {
+		var buf [18 + 8]byte
+		b := appendAddr(buf[:0], r.Packet.Route.Endpoint)
+		b = binary.BigEndian.AppendUint64(b, r.Packet.Route.Incarnation)
+		dst = appendBytes(dst, relayRoute, b)
+	}
+	dst = appendVarint(dst, relayTried, uint64(r.Tried))
+	dst = appendVarint(dst, relayHops, uint64(r.Hops))
+	if r.Forced {
+		dst = appendVarint(dst, relayForced, 1)
+	}
+	dst = appendAddrField(dst, relayBest, r.Best)
+	dst = appendVarint(dst, relayBestQueue, uint64(r.BestQueue))
+	copy(dst[at:], s.relayTag(dst[at+tagSize:]))
+	return dst
+}
+
+func (s *Sealer) relayTag(b []byte) []byte {
+	s.buf = append(append(s.buf[:0], 'r'), b...)
+	return s.tag(s.buf)
+}
+
+// DecodeRelay checks the tag of a relay and decodes it.
+func (d *Decoder) DecodeRelay(b []byte, s *Sealer, r *input.Relay) error {
+	if len(b) < tagSize || !hmac.Equal(s.relayTag(b[tagSize:]), b[:tagSize]) {
+		return ErrBadToken
+	}
+	*r = input.Relay{}
+	var inner, route []byte
+	for b = b[tagSize:]; len(b) > 0; {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrMalformed
+		}
+		b = b[n:]
+		switch typ {
+		case protowire.BytesType:
+			var v []byte
+			if v, n = protowire.ConsumeBytes(b); n < 0 {
+				return ErrMalformed
+			}
+			switch num {
+			case relayPacket:
+				inner = v
+			case relayRoute:
+				route = v
+			default:
+				relayAddr(r, num, v)
+			}
+		case protowire.VarintType:
+			var v uint64
+			if v, n = protowire.ConsumeVarint(b); n < 0 {
+				return ErrMalformed
+			}
+			relayCount(r, num, v)
+		default:
+			if n = protowire.ConsumeFieldValue(num, typ, b); n < 0 {
+				return ErrMalformed
+			}
+		}
+		b = b[n:]
+	}
+	if err := d.Decode(inner, &r.Packet); err != nil {
+		return err
+	}
+	if n := len(route) - 8; n > 0 {
+		ep, ok := parseAddr(route[:n])
+		if !ok {
+			return ErrMalformed
+		}
+		r.Packet.Route = packet.Route{Endpoint: ep, Incarnation: binary.BigEndian.Uint64(route[n:])}
+	}
+	return nil
+}
+
+func relayAddr(r *input.Relay, num protowire.Number, v []byte) {
+	var a netip.AddrPort
+	a, _ = parseAddr(v)
+	switch num {
+	case relayTarget:
+		r.Target = a
+	case relayBest:
+		r.Best = a
+	}
+}
+
+func relayCount(r *input.Relay, num protowire.Number, v uint64) {
+	switch num {
+	case relayTried:
+		r.Tried = uint8(min(v, math.MaxUint8))
+	case relayHops:
+		r.Hops = uint8(min(v, math.MaxUint8))
+	case relayForced:
+		r.Forced = v != 0
+	case relayBestQueue:
+		r.BestQueue = uint32(min(v, math.MaxUint32))
+	}
+}
