Wait for the configuration to be in force in the loopback test

Cause: the test opened flows while some balancers still had revision 0, so the owner that a relay reached knew no endpoint and every candidate was passed over (no_upstream, 1 failure in 2 runs). The refusal was true; the test had not waited. Fleet.AwaitRevision waits on config_in_force events.

--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -31,6 +31,8 @@
 	upstreams map[string]*upstr.Server
 	cfg       model.Config
 	events    func(string, *effect.Event)
+	// changed is closed and replaced when a balancer's configuration changes.
+	changed chan struct{}
 }
 
 type balancer struct {
@@ -48,6 +50,7 @@
 		balancers: make(map[string]*balancer),
 		upstreams: make(map[string]*upstr.Server),
 		events:    events,
+		changed:   make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	return f
@@ -72,11 +75,7 @@
 		Self:    model.Balancer{Name: name, DataCentre: dataCentre, Incarnation: uint64(time.Now().UnixNano())},
 		Clients: loopback, Upstreams: loopback, Peers: loopback,
 		Key: f.key,
-		Events: func(e *effect.Event) {
-			if f.events != nil {
-				f.events(name, e)
-			}
-		},
+		Events: func(e *effect.Event) { f.event(name, e) },
 	})
 	if err != nil {
 		return err
@@ -96,6 +95,38 @@
 	return nil
 }
 
+func (f *Fleet) event(balancer string, e *effect.Event) {
+	if f.events != nil {
+		f.events(balancer, e)
+	}
+	if e.Name == "config_in_force" {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// AwaitRevision waits until all live balancers have the revision in force.
+func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64) error {
+	for {
+		f.mu.Lock()
+		changed, ready := f.changed, true
+		for _, b := range f.balancers {
+			ready = ready && b.Revision() >= revision
+		}
+		f.mu.Unlock()
+		if ready {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // KillBalancer stops a balancer without notice.
 func (f *Fleet) KillBalancer(name string) {
 	f.mu.Lock()
--- a/io/emul/fleet/fleet_test.go
+++ b/io/emul/fleet/fleet_test.go
@@ -49,6 +49,9 @@
 		params = params.WithUpstream(u)
 	}
 	f.Configure(model.Config{}.WithTemplate(tmpl).WithParams(params).WithRevision(1))
+	if err := f.AwaitRevision(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
 	link, err := client.DialUDP(f.Entry(), 1)
 	if err != nil {
 		t.Fatal(err)
