--- a/core/engine/client.go
+++ b/core/engine/client.go
@@ -43,10 +43,6 @@
 }
 
 func (e *Engine) openFromClient(w *Work, now time.Time, b *table.Binding, p *packet.Packet, o *packet.Open) {
-	if e.Tables.Leaving.Load() {
-		refuse(w, *p, o, packet.ReasonShutdown, 0)
-		return
-	}
 	c := b.Pool.Placement(p.Flow)
 	first := c.At(0)
 	if first == nil {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -68,12 +68,14 @@
 
 func (e *Engine) configure(w *Work, cfg model.Config) {
 	if cmds.Configure(&w.locks, &e.Tables, cfg) {
+		e.claim(w)
 		w.Out.Add(&effect.Event{Name: "config_in_force", Revision: cfg.Revision})
 	}
 }
 
 func (e *Engine) setHosts(w *Work, bs []model.Balancer) {
 	e.Tables.UpdateMembers(&w.locks, func() member.View { return member.NewView(bs).With(e.Self) })
+	e.claim(w)
 }
 
 func (e *Engine) report(w *Work, now time.Time, r *input.LoadReport) {
--- a/core/engine/memory_test.go
+++ b/core/engine/memory_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
 	"egretdock/core/effect"
 	"egretdock/core/engine"
 	"egretdock/core/input"
+	"egretdock/core/locks"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 )
@@ -279,3 +281,13 @@
 	u.incarnation++
 	u.conns, u.running = make(map[uint64]*memConn), nil
 }
+
+func holder() *locks.Holder { return &locks.Holder{} }
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -5,22 +5,45 @@
 
 	"egretdock/core/cmds"
 	"egretdock/core/effect"
+	"egretdock/core/member"
 	"egretdock/core/packet"
 	"egretdock/core/query"
+	"egretdock/core/table"
 )
 
 func (e *Engine) tick(w *Work, now time.Time) {
 	e.Tables.Probes.Expire(&w.locks, now)
-	for _, pl := range query.Owned(e.Tables.View(), &e.Tables, e.Self.Name) {
-		s := cmds.Sweep(&w.locks, now, pl.State)
-		for _, d := range s.Dropped {
-			e.drop(w, d)
-		}
-		e.forwardAll(w, s.Forward)
-		if s.Poll && pl.Retired == 0 {
+	o := e.Tables.Ownership()
+	for _, pl := range o.Mine {
+		if e.sweep(w, now, pl) && pl.Retired == 0 {
 			w.Out.Add(&effect.Poll{Upstream: pl.Upstream})
 		}
 	}
+	// Work that was admitted before the upstream got another owner.
+	for _, pl := range o.Others {
+		if pl.State.Busy() {
+			e.sweep(w, now, pl)
+		}
+	}
+}
+
+// sweep lets time pass at one upstream and reports whether its health endpoint
+// should be asked.
+func (e *Engine) sweep(w *Work, now time.Time, pl *table.Place) bool {
+	s := cmds.Sweep(&w.locks, now, pl.State)
+	for _, d := range s.Dropped {
+		e.drop(w, d)
+	}
+	e.forwardAll(w, s.Forward)
+	return s.Poll
+}
+
+// claim works out which upstreams this balancer owns after a change of the
+// configuration or the members.
+func (e *Engine) claim(w *Work) {
+	e.Tables.UpdateOwnership(&w.locks, func(v *table.View, m member.View) *table.Ownership {
+		return query.Split(v, m, e.Self.Name)
+	})
 }
 
 // drop refuses queued work. An opening is refused outright; a request only
--- a/core/query/route.go
+++ b/core/query/route.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretdock/core/locks"
+	"egretdock/core/member"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/table"
@@ -60,14 +61,16 @@
 	return r, LookupRouted
 }
 
-// Owned returns the places whose upstream the named balancer owns.
-func Owned(v *table.View, s *table.Set, self string) []*table.Place {
-	members := s.Members()
-	var out []*table.Place
+// Split splits the places of a view by whether the named balancer owns their
+// upstream.
+func Split(v *table.View, members member.View, self string) *table.Ownership {
+	o := &table.Ownership{}
 	for _, p := range v.Places() {
 		if b, ok := members.Owner(p.Upstream); ok && b.Name == self {
-			out = append(out, p)
+			o.Mine = append(o.Mine, p)
+		} else {
+			o.Others = append(o.Others, p)
 		}
 	}
-	return out
+	return o
 }
--- a/core/table/set.go
+++ b/core/table/set.go
@@ -17,6 +17,7 @@
 
 	membersMu locks.Mutex
 	members   atomic.Pointer[member.View]
+	owned     atomic.Pointer[Ownership]
 
 	// Flows caches routes of flows without a token.
 	Flows Flows
@@ -55,6 +56,28 @@
 	return member.View{}
 }
 
+// Ownership splits the places of a view by whether this balancer owns their
+// upstream. It is immutable.
+type Ownership struct {
+	Mine, Others []*Place
+}
+
+// Ownership returns the split in force.
+func (s *Set) Ownership() *Ownership {
+	if o := s.owned.Load(); o != nil {
+		return o
+	}
+	return &Ownership{}
+}
+
+// UpdateOwnership replaces the split by fn's result. fn runs under the members
+// lock, so that the last of several updates sees the newest view and members.
+func (s *Set) UpdateOwnership(h *locks.Holder, fn func(*View, member.View) *Ownership) {
+	s.membersMu.Lock(h, locks.RankMembers)
+	defer s.membersMu.Unlock(h, locks.RankMembers)
+	s.owned.Store(fn(s.View(), s.Members()))
+}
+
 // UpdateMembers runs fn under the members lock and publishes its result.
 func (s *Set) UpdateMembers(h *locks.Holder, fn func() member.View) {
 	s.membersMu.Lock(h, locks.RankMembers)
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"egretdock/core/admit"
@@ -15,6 +16,8 @@
 // upstream of which nothing is known.
 type Upstream struct {
 	mu locks.Mutex
+	// busy is true while Pending has entries; it is read without the lock.
+	busy atomic.Bool
 
 	// Admit is the admission state of the current incarnation.
 	Admit admit.Upstream
@@ -38,7 +41,13 @@
 func (u *Upstream) Lock(h *locks.Holder) { u.mu.Lock(h, locks.RankUpstreams) }
 
 // Unlock releases the upstream's lock.
-func (u *Upstream) Unlock(h *locks.Holder) { u.mu.Unlock(h, locks.RankUpstreams) }
+func (u *Upstream) Unlock(h *locks.Holder) {
+	u.busy.Store(len(u.Pending) > 0)
+	u.mu.Unlock(h, locks.RankUpstreams)
+}
+
+// Busy reports whether this balancer has work pending at the upstream.
+func (u *Upstream) Busy() bool { return u.busy.Load() }
 
 // Drop removes an entry of Pending.
 func (u *Upstream) Drop(k admit.Key) {
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -74,7 +74,7 @@
 	d, err := daemon.New(daemon.Config{
 		Self:    model.Balancer{Name: name, DataCentre: dataCentre, Incarnation: uint64(time.Now().UnixNano())},
 		Clients: loopback, Upstreams: loopback, Peers: loopback,
-		Key: f.key,
+		Key:    f.key,
 		Events: func(e *effect.Event) { f.event(name, e) },
 	})
 	if err != nil {
