Log events as key=value lines and keep the recent ones in memory

Hosts have no disks, so the log of a balancer is what stderr collects plus a bounded ring. Writer and parser share one table of fields and one quoting rule.

--- /dev/null
+++ b/io/logs/logger.go
@@ -0,0 +1,85 @@
+package logs
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"egretdock/core/clock"
+	"egretdock/core/effect"
+)
+
+// Options are the settings of a Logger.
+type Options struct {
+	// Process names the process in each line; it must not be empty.
+	Process    string
+	DataCentre string
+	// Keep is the number of events held in memory; 0 selects DefaultKeep.
+	Keep int
+	// Now is the physical clock; nil selects time.Now.
+	Now func() time.Time
+}
+
+// Logger stamps the events of one process, writes them through klog and keeps
+// the recent ones in a ring. Its methods may be called from several
+// goroutines; its lock is taken before the ring's and never while klog writes.
+type Logger struct {
+	now    func() time.Time
+	origin Record
+	ring   *Ring
+
+	mu sync.Mutex
+	// stamp is the last one given out; it only grows.
+	stamp clock.Stamp
+}
+
+// NewLogger returns a logger without events.
+func NewLogger(o Options) *Logger {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Logger{
+		now:    o.Now,
+		origin: Record{Process: o.Process, DataCentre: o.DataCentre},
+		ring:   NewRing(o.Keep),
+	}
+}
+
+// Write records an event.
+func (l *Logger) Write(e effect.Event) {
+	klog.InfoDepth(1, l.keep(e).String())
+}
+
+// Tick returns a new stamp for a message to another process.
+func (l *Logger) Tick() clock.Stamp {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stamp = l.stamp.Tick(l.now())
+	return l.stamp
+}
+
+// Observe merges the stamp of a received message, so that later events of this
+// process follow it. It reports false when the stamp is more than
+// clock.MaxDrift ahead and is ignored.
+func (l *Logger) Observe(remote clock.Stamp) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ok bool
+	l.stamp, ok = l.stamp.Merge(l.now(), remote)
+	return ok
+}
+
+// Ring returns the recent events.
+func (l *Logger) Ring() *Ring { return l.ring }
+
+func (l *Logger) keep(e effect.Event) Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stamp = l.stamp.Tick(l.now())
+	r := l.origin.WithEvent(e)
+	r.At = l.stamp
+	// The ring is filled under the lock because it is ordered by stamp.
+	l.ring.Add(r)
+	return r
+}
--- /dev/null
+++ b/io/logs/record.go
@@ -0,0 +1,94 @@
+// Package logs writes each event of a process as one line of key=value pairs
+// and keeps the most recent ones in memory, because hosts have no disks.
+//
+// Lines have the form
+//
+//	process=casa1-b1 data_centre=casa1 at=2026-12-04T08:00:00.000000000Z/0 event=flow_open flow=7 detail="two words"
+//
+// A value stands bare when it is not empty and consists of printable ASCII
+// without space, '"', '=' and '\'; any other value is a Go string literal in
+// double quotes. Fields that are zero are left out.
+package logs
+
+import (
+	"strconv"
+	"unicode/utf8"
+
+	"egretdock/core/clock"
+	"egretdock/core/effect"
+)
+
+// Record is an event with its origin and time. It is immutable.
+type Record struct {
+	// Process is the name of the balancer or other process.
+	Process    string
+	DataCentre string
+	// At is unique within a process.
+	At    clock.Stamp
+	Event effect.Event
+}
+
+// maxText bounds a text of an event, so that the memory of the ring is bounded
+// and one line stays under 2 KB.
+const maxText = 256
+
+// WithEvent returns a copy with another event, the texts of which are cut to
+// at most 256 bytes.
+func (r Record) WithEvent(e effect.Event) Record {
+	e.Name = cut(e.Name)
+	e.Customer = cut(e.Customer)
+	e.Upstream = cut(e.Upstream)
+	e.Detail = cut(e.Detail)
+	r.Event = e
+	return r
+}
+
+// Compare orders records by time, then by process.
+func (r Record) Compare(o Record) int {
+	if c := r.At.Compare(o.At); c != 0 {
+		return c
+	}
+	switch {
+	case r.Process < o.Process:
+		return -1
+	case r.Process > o.Process:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// String returns the line without a newline. Parse is its inverse.
+func (r Record) String() string {
+	b := make([]byte, 0, 256)
+	for _, f := range fields {
+		v := f.get(&r)
+		if v == "" {
+			continue
+		}
+		if len(b) > 0 {
+			b = append(b, ' ')
+		}
+		b = append(append(b, f.key...), '=')
+		b = appendValue(b, v)
+	}
+	return string(b)
+}
+
+func cut(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	n := maxText - len("...")
+	for n > 0 && !utf8.RuneStart(s[n]) {
+		n--
+	}
+	return s[:n] + "..."
+}
+
+func number(n uint64) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.FormatUint(n, 10)
+}
