Merge event lines of many processes into one time line

Records are ordered by logical timestamp, so skewed clocks do not reverse cause and effect. A source that fails or is damaged is reported and does not prevent the rest.

--- a/io/logs/line.go
+++ b/io/logs/line.go
@@ -111,11 +111,12 @@
 	return key, value, rest[1:], nil
 }
 
-func appendValue(b []byte, v string) []byte {
+// Quote returns a value as it stands in a line.
+func Quote(v string) string {
 	if isBare(v) {
-		return append(b, v...)
+		return v
 	}
-	return strconv.AppendQuote(b, v)
+	return strconv.Quote(v)
 }
 
 func isBare(s string) bool {
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -12,6 +12,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"unicode/utf8"
 
 	"egretdock/core/clock"
@@ -29,7 +30,7 @@
 }
 
 // maxText bounds a text of an event, so that the memory of the ring is bounded
-// and one line stays under 2 KB.
+// and the four texts fit into a line of 5 KB even when each byte is escaped.
 const maxText = 256
 
 // WithEvent returns a copy with another event, the texts of which are cut to
@@ -58,21 +59,33 @@
 	}
 }
 
-// String returns the line without a newline. Parse is its inverse.
-func (r Record) String() string {
-	b := make([]byte, 0, 256)
+// Pair is one field of a line.
+type Pair struct{ Key, Value string }
+
+// String returns key=value as it stands in a line.
+func (p Pair) String() string { return p.Key + "=" + Quote(p.Value) }
+
+// Pairs returns the fields that are not empty, in the order of the line.
+func (r Record) Pairs() []Pair {
+	ps := make([]Pair, 0, len(fields))
 	for _, f := range fields {
-		v := f.get(&r)
-		if v == "" {
-			continue
+		if v := f.get(&r); v != "" {
+			ps = append(ps, Pair{f.key, v})
 		}
-		if len(b) > 0 {
-			b = append(b, ' ')
+	}
+	return ps
+}
+
+// String returns the line without a newline. Parse is its inverse.
+func (r Record) String() string {
+	var b strings.Builder
+	for i, p := range r.Pairs() {
+		if i > 0 {
+			b.WriteByte(' ')
 		}
-		b = append(append(b, f.key...), '=')
-		b = appendValue(b, v)
+		b.WriteString(p.String())
 	}
-	return string(b)
+	return b.String()
 }
 
 func cut(s string) string {
--- /dev/null
+++ b/io/trace/filter.go
@@ -0,0 +1,62 @@
+package trace
+
+import "egretdock/io/logs"
+
+// Condition selects records of a time line.
+//
+//sumtype:decl
+type Condition interface{ condition() }
+
+// Conditions on one field each.
+type (
+	// ByFlow selects the events of a flow.
+	ByFlow uint64
+	// ByCustomer selects the events of a customer.
+	ByCustomer string
+	// ByUpstream selects the events of an upstream.
+	ByUpstream string
+	// ByRevision selects the events of a configuration revision, which
+	// identifies an edit.
+	ByRevision uint64
+	// ByEvent selects the events with a name.
+	ByEvent string
+	// ByProcess selects the events of a process.
+	ByProcess string
+)
+
+func (ByFlow) condition()     {}
+func (ByCustomer) condition() {}
+func (ByUpstream) condition() {}
+func (ByRevision) condition() {}
+func (ByEvent) condition()    {}
+func (ByProcess) condition()  {}
+
+func matches(r logs.Record, cs []Condition) bool {
+	for _, c := range cs {
+		if !meets(r, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// meets reports whether r meets c. A gap in the records of a process meets
+// every condition on events, because events that meet it may be missing there.
+func meets(r logs.Record, c Condition) bool {
+	gap := r.Event.Name == logs.NameOverwritten
+	switch c := c.(type) {
+	case ByFlow:
+		return gap || r.Event.Flow == uint64(c)
+	case ByCustomer:
+		return gap || r.Event.Customer == string(c)
+	case ByUpstream:
+		return gap || r.Event.Upstream == string(c)
+	case ByRevision:
+		return gap || r.Event.Revision == uint64(c)
+	case ByEvent:
+		return gap || r.Event.Name == string(c)
+	case ByProcess:
+		return r.Process == string(c)
+	}
+	return false
+}
--- /dev/null
+++ b/io/trace/trace_test.go
@@ -0,0 +1,144 @@
+package trace
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"egretdock/core/clock"
+	"egretdock/core/effect"
+	"egretdock/core/fault"
+	"egretdock/io/logs"
+)
+
+var base = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func record(process string, ms int, e effect.Event) logs.Record {
+	at := clock.Stamp{Wall: base.Add(time.Duration(ms) * time.Millisecond).UnixNano()}
+	return logs.Record{Process: process, DataCentre: "casa1", At: at, Event: e}
+}
+
+func wantNames(t *testing.T, tl Timeline, want ...string) {
+	t.Helper()
+	var got []string
+	for _, r := range tl.Records() {
+		got = append(got, r.Event.Name)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("events %v, want %v", got, want)
+	}
+}
+
+// Guards against skewed clocks reversing cause and effect: a flow passes from
+// a host whose clock is 20 s ahead to one that is 20 s behind and back.
+func TestSkewedClocksKeepCauseBeforeEffect(t *testing.T) {
+	process := func(name string, skew time.Duration) *logs.Logger {
+		return logs.NewLogger(logs.Options{Process: name, Now: func() time.Time { return base.Add(skew) }})
+	}
+	fast, slow := process("fast", 20*time.Second), process("slow", -20*time.Second)
+	say := func(l *logs.Logger, name string) { l.Write(effect.Event{Name: name}) }
+	pass := func(from, to *logs.Logger) { to.Observe(from.Tick()) }
+
+	say(fast, "open_forwarded")
+	pass(fast, slow)
+	say(slow, "open_granted")
+	pass(slow, fast)
+	say(fast, "open_confirmed")
+
+	tl := Timeline{}.With(slow.Ring().After(clock.Stamp{})...).With(fast.Ring().After(clock.Stamp{})...)
+	wantNames(t, tl, "open_forwarded", "open_granted", "open_confirmed")
+}
+
+// Guards against events of other flows, customers or edits in a selection, and
+// against a selection that hides that events are missing.
+func TestWhere(t *testing.T) {
+	tl := Timeline{}.With(
+		record("b1", 0, effect.Event{Name: logs.NameOverwritten}),
+		record("b1", 1, effect.Event{Name: "a", Flow: 1, Customer: "c1", Upstream: "u1", Revision: 1}),
+		record("b2", 2, effect.Event{Name: "b", Flow: 2, Customer: "c2", Upstream: "u2", Revision: 2}),
+		record("b2", 2, effect.Event{Name: "b", Flow: 2, Customer: "c2", Upstream: "u2", Revision: 2}),
+	)
+	for _, c := range []Condition{ByFlow(2), ByCustomer("c2"), ByUpstream("u2"), ByRevision(2), ByEvent("b")} {
+		t.Run(fmt.Sprintf("%T", c), func(t *testing.T) {
+			wantNames(t, tl.Where(c), logs.NameOverwritten, "b")
+		})
+	}
+	t.Run("process", func(t *testing.T) { wantNames(t, tl.Where(ByProcess("b2")), "b") })
+	t.Run("both", func(t *testing.T) { wantNames(t, tl.Where(ByFlow(1), ByCustomer("c2")), logs.NameOverwritten) })
+}
+
+// Guards against one dead process or damaged log preventing the time line, and
+// against such a loss staying silent.
+func TestReadReportsPartialFailure(t *testing.T) {
+	good := record("b1", 1, effect.Event{Name: "good"})
+	page := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, record("b2", 0, effect.Event{Name: "served"}))
+	}))
+	dead := httptest.NewServer(http.NotFoundHandler())
+	defer page.Close()
+	defer dead.Close()
+	log := strings.Join([]string{
+		"starting", strings.Repeat("x", 3*maxLine), "I1204 08:00:00.000000 1 a.go:1] " + good.String(), good.String()[:40],
+	}, "\n")
+
+	tl, errs := Read(context.Background(), []Source{
+		Stream{"log", strings.NewReader(log)}, Admin(page.URL), Admin(dead.URL), File("no/such/file"),
+	})
+	wantNames(t, tl, "served", "good")
+	var kinds []string
+	for _, err := range errs {
+		kinds = append(kinds, fault.KindOf(err).String())
+	}
+	if got := strings.Join(kinds, " "); got != "invalid unavailable not_found" {
+		t.Errorf("errors of kinds %q: %v", got, errs)
+	}
+}
+
+// Guards against a value in a log that runs as script in the page of an
+// operator or controls the terminal, and against assets that the page would
+// have to load.
+func TestRenderingEscapes(t *testing.T) {
+	evil := "</script><script>alert(1)</script>\x1b[2J\" onclick=\"x"
+	tl := Timeline{}.With(record(evil, 0, effect.Event{Name: evil, Customer: evil, Upstream: evil, Detail: evil}))
+	render := func(write func(*bytes.Buffer) error) string {
+		var b bytes.Buffer
+		if err := write(&b); err != nil {
+			t.Fatal(err)
+		}
+		return b.String()
+	}
+	reject := func(t *testing.T, out string, parts ...string) {
+		t.Helper()
+		for _, p := range parts {
+			if strings.Contains(out, p) {
+				t.Errorf("output contains %q", p)
+			}
+		}
+	}
+	html := render(func(b *bytes.Buffer) error { return WritePage(b, tl) })
+	reject(t, html, "<script>alert", `" onclick="`, "src=", "href=", "url(", "http:", "https:", "ZgotmplZ")
+	reject(t, render(func(b *bytes.Buffer) error { return WriteText(b, tl) }), "\x1b")
+}
+
+// Guards against a page that hides without a word that it is not complete.
+func TestPageSaysWhatItLeavesOut(t *testing.T) {
+	var rs []logs.Record
+	for i := range 5 {
+		rs = append(rs, record("b1", i, effect.Event{Name: "tick"}))
+	}
+	var b bytes.Buffer
+	if err := writePage(&b, Timeline{}.With(rs...), 2); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(b.String(), "3 earlier events are left out") {
+		t.Error("the page does not say that 3 events are left out")
+	}
+	if n := strings.Count(b.String(), "data-line="); n != 2 {
+		t.Errorf("%d rows, want 2", n)
+	}
+}
