Add the timeline command

It merges log files and admin addresses, prints text or a page, and says by its exit code whether the time line is complete.

--- /dev/null
+++ b/io/subcmd/timeline.go
@@ -0,0 +1,197 @@
+// Package subcmd holds the commands of egretdock, one in each file.
+package subcmd
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"egretdock/core/fault"
+	"egretdock/io/trace"
+)
+
+// Timeline merges event lines of many processes. The zero value reads standard
+// input as file "-" and writes to standard output and standard error.
+type Timeline struct {
+	In       io.Reader
+	Out, Err io.Writer
+
+	conditions []trace.Condition
+	addrs      []string
+	html       string
+	help       bool
+}
+
+var _ subcommands.Command = (*Timeline)(nil)
+
+// Name implements subcommands.Command.
+func (*Timeline) Name() string { return "timeline" }
+
+// Synopsis implements subcommands.Command.
+func (*Timeline) Synopsis() string { return "merge the events of many processes into one time line" }
+
+// Usage implements subcommands.Command.
+func (*Timeline) Usage() string {
+	return `timeline [flags] FILE…
+timeline [flags] -addr URL…
+	Merge the event lines of log files and admin addresses, and print them in
+	the order of their logical timestamps. FILE may be - for standard input.
+	Conditions are combined: an event is shown when it meets all of them.
+
+	Examples:
+	  egretdock timeline casa1-b1.log casa1-b2.log
+	  egretdock timeline -flow 7 -addr http://10.0.0.1:9300 http://10.0.0.2:9300
+	  egretdock timeline -revision 41 -html edit.html *.log
+	  egretdock timeline -customer tunde_drains -event open_refused *.log
+
+	Exit codes:
+	  0  the time line is complete
+	  1  a source could not be read or holds damaged lines, or the output could
+	     not be written; what could be read is printed
+	  2  the command line is wrong
+
+	Flags:
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Timeline) SetFlags(f *flag.FlagSet) {
+	// A flag of its own lets help exit with 0.
+	f.BoolVar(&c.help, "help", false, "print this page")
+	f.BoolVar(&c.help, "h", false, "print this page")
+	c.number(f, "flow", "show the events of this `flow`", func(n uint64) trace.Condition { return trace.ByFlow(n) })
+	c.number(f, "revision", "show the events of this configuration `revision` (edit)", func(n uint64) trace.Condition { return trace.ByRevision(n) })
+	c.text(f, "customer", "show the events of this `customer`", func(s string) trace.Condition { return trace.ByCustomer(s) })
+	c.text(f, "upstream", "show the events of this `upstream`", func(s string) trace.Condition { return trace.ByUpstream(s) })
+	c.text(f, "event", "show the events with this `name`", func(s string) trace.Condition { return trace.ByEvent(s) })
+	c.text(f, "process", "show the events of this `process`", func(s string) trace.Condition { return trace.ByProcess(s) })
+	f.StringVar(&c.html, "html", "", "write a page for a browser to this `file` instead of text")
+	f.Func("addr", "read the events of the process with this admin `URL`; more URLs may follow", func(s string) error {
+		c.addrs = append(c.addrs, s)
+		return nil
+	})
+}
+
+// Execute implements subcommands.Command.
+func (c *Timeline) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	d := c.withDefaults()
+	if d.help {
+		_, _ = fmt.Fprint(d.Out, d.Usage())
+		f.SetOutput(d.Out)
+		f.PrintDefaults()
+		return subcommands.ExitSuccess
+	}
+	sources, err := d.sources(f.Args())
+	if err != nil {
+		_, _ = fmt.Fprintln(d.Err, "timeline:", err)
+		return subcommands.ExitUsageError
+	}
+	t, errs := trace.Read(ctx, sources, d.conditions...)
+	if err := d.write(t); err != nil {
+		errs = append(errs, err)
+	}
+	for _, err := range errs {
+		_, _ = fmt.Fprintln(d.Err, "timeline:", err)
+	}
+	if len(errs) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Timeline) withDefaults() Timeline {
+	d := *c
+	d.In = cmp.Or[io.Reader](d.In, os.Stdin)
+	d.Out = cmp.Or[io.Writer](d.Out, os.Stdout)
+	d.Err = cmp.Or[io.Writer](d.Err, os.Stderr)
+	return d
+}
+
+// sources returns what the arguments name. An argument is a URL when it starts
+// with http:// or https://.
+func (c *Timeline) sources(args []string) ([]trace.Source, error) {
+	var out []trace.Source
+	for _, a := range c.addrs {
+		u, err := eventsURL(a)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, trace.Admin(u))
+	}
+	for _, a := range args {
+		switch {
+		case strings.HasPrefix(a, "http://"), strings.HasPrefix(a, "https://"):
+			u, err := eventsURL(a)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, trace.Admin(u))
+		case a == "-":
+			out = append(out, trace.Stream{Name: "standard input", Reader: c.In})
+		case strings.HasPrefix(a, "-"):
+			return nil, fault.New(fault.KindInvalid, "flag "+a+" after a file or URL", "put the flags first, or write ./"+a+" for a file")
+		default:
+			out = append(out, trace.File(a))
+		}
+	}
+	if len(out) == 0 {
+		return nil, fault.New(fault.KindInvalid, "nothing to read", "name log files, or admin addresses with -addr; -help shows examples")
+	}
+	return out, nil
+}
+
+// eventsURL completes an admin address to the URL of its events page.
+func eventsURL(addr string) (string, error) {
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	u, err := url.Parse(addr)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return "", fault.New(fault.KindInvalid, "invalid admin address "+strconv.Quote(addr), "write it as in http://10.0.0.1:9300")
+	}
+	if u.Path == "" || u.Path == "/" {
+		u.Path = "/events"
+	}
+	return u.String(), nil
+}
+
+func (c *Timeline) write(t trace.Timeline) error {
+	if c.html == "" {
+		return trace.WriteText(c.Out, t)
+	}
+	f, err := os.Create(c.html)
+	if err != nil {
+		return fault.Wrap(err, fault.KindUnavailable, "cannot write the page", "choose another file with -html")
+	}
+	return errors.Join(trace.WritePage(f, t), f.Close())
+}
+
+func (c *Timeline) number(f *flag.FlagSet, name, usage string, by func(uint64) trace.Condition) {
+	f.Func(name, usage, func(s string) error {
+		n, err := strconv.ParseUint(s, 0, 64)
+		if err != nil || n == 0 {
+			return errors.New("not a positive number")
+		}
+		c.conditions = append(c.conditions, by(n))
+		return nil
+	})
+}
+
+func (c *Timeline) text(f *flag.FlagSet, name, usage string, by func(string) trace.Condition) {
+	f.Func(name, usage, func(s string) error {
+		if s == "" {
+			return errors.New("empty")
+		}
+		c.conditions = append(c.conditions, by(s))
+		return nil
+	})
+}
