--- a/core/model/config.go
+++ b/core/model/config.go
@@ -17,14 +17,16 @@
 	templates map[string]Template
 	params    map[string]Params
 	released  map[netip.AddrPort]Release
+	edits     map[Object]Edit
 }
 
 // Release records that an endpoint or address stopped serving its holder. It
 // must not be given to another holder before all live balancers confirm
 // Revision.
 type Release struct {
-	// Holder is the template name for an upstream endpoint, the customer for
-	// a service address (recorded with port 0).
+	// Holder is "template/customer", for an upstream endpoint and for a
+	// service address (recorded with port 0); empty when several holders left
+	// and none of them may take it back unconfirmed.
 	Holder string
 	// Revision is the revision that released it.
 	Revision uint64
--- /dev/null
+++ b/core/rules/apply.go
@@ -0,0 +1,140 @@
+package rules
+
+import (
+	"net/netip"
+	"strings"
+
+	"egretdock/core/model"
+)
+
+// tombstoneRevisions is how long the record of a deleted object is kept. At
+// 4,700 changes a day a deletion can be backed out for two days.
+const tombstoneRevisions = 10000
+
+// Apply returns the configuration after the change. It checks everything but
+// the quarantine, which depends on what balancers had confirmed when the
+// change was accepted.
+func Apply(cfg model.Config, c Change) (model.Config, error) {
+	if c.Revision != cfg.Revision+1 {
+		return cfg, refuse("", OutOfOrder{Have: cfg.Revision, Got: c.Revision})
+	}
+	o := c.Object()
+	before := cfg.Content(o)
+	after, err := result(cfg, c)
+	if err != nil {
+		return cfg, err
+	}
+	if err := checkBase(cfg, c, before, after); err != nil {
+		return cfg, err
+	}
+	next := cfg.WithContent(o, after).WithRevision(c.Revision)
+	if err := validate(next, before, after); err != nil {
+		return cfg, err
+	}
+	next = next.WithContent(o, sorted(after)).WithEdit(model.Edit{Object: o, Revision: c.Revision, ID: c.ID, Author: c.Author, Before: before})
+	next = next.WithoutEdits(func(e model.Edit) bool {
+		return e.Revision+tombstoneRevisions < c.Revision && next.Content(e.Object) == nil
+	})
+	return release(next, c, claimsOf(before), claimsOf(after)), nil
+}
+
+// sorted puts lists in the order that the model promises. It comes after the
+// checks, whose paths count in the author's order.
+func sorted(v model.Content) model.Content {
+	switch v := v.(type) {
+	case model.Template:
+		return v.Sorted()
+	case model.Params:
+		return v.Sorted()
+	default:
+		return nil
+	}
+}
+
+// result returns what the object holds after the change.
+func result(cfg model.Config, c Change) (model.Content, error) {
+	switch b := c.Body.(type) {
+	case *PutTemplate:
+		return b.Template, nil
+	case *PutParams:
+		return b.Params, nil
+	case *Delete:
+		if cfg.Content(b.Object) == nil {
+			return nil, refuse("", Unknown{Object: b.Object})
+		}
+		return nil, nil
+	case *BackOut:
+		last, ok := cfg.Edit(b.Object)
+		switch {
+		case !ok:
+			return nil, refuse("", Unknown{Object: b.Object})
+		case last.Revision != b.Undo:
+			return nil, refuse("", Superseded{Undo: b.Undo, Last: last})
+		}
+		return last.Before, nil
+	default:
+		return nil, refuse("", BadValue{What: "kind of change", Value: c.Kind(), Want: "a kind that this version knows"})
+	}
+}
+
+// checkBase refuses an edit whose author has not seen the last edit of the
+// object. A back-out names that edit itself.
+func checkBase(cfg model.Config, c Change, before, after model.Content) error {
+	if _, ok := c.Body.(*BackOut); ok {
+		return nil
+	}
+	last, ok := cfg.Edit(c.Object())
+	if !ok || last.Revision <= c.Base {
+		return nil
+	}
+	return refuse("", BaseConflict{
+		Mine: c, Theirs: last,
+		MineText:   strings.Join(Describe(before, after), ", "),
+		TheirsText: strings.Join(Describe(last.Before, before), ", "),
+	})
+}
+
+// claims are the endpoints and the address (with port 0) of one customer.
+type claims struct {
+	holder string
+	set    map[netip.AddrPort]bool
+}
+
+func claimsOf(v model.Content) claims {
+	p, ok := v.(model.Params)
+	if !ok {
+		return claims{}
+	}
+	out := claims{holder: p.Template + "/" + p.Customer, set: make(map[netip.AddrPort]bool, len(p.Upstreams)+1)}
+	out.set[netip.AddrPortFrom(p.Address, 0)] = true
+	for _, u := range p.Upstreams {
+		out.set[u.Endpoint] = true
+	}
+	return out
+}
+
+// release updates the release records: what left gets one, what was taken
+// loses its own, and those that all balancers confirmed are dropped.
+func release(cfg model.Config, c Change, before, after claims) model.Config {
+	for a, r := range cfg.ReleasedAll() {
+		if r.Revision <= c.Confirmed {
+			cfg = cfg.WithoutRelease(a)
+		}
+	}
+	for a := range after.set {
+		if _, ok := cfg.Released(a); ok && !before.set[a] {
+			cfg = cfg.WithoutRelease(a)
+		}
+	}
+	for a := range before.set {
+		if after.set[a] {
+			continue
+		}
+		r := model.Release{Holder: before.holder, Revision: c.Revision}
+		if old, ok := cfg.Released(a); ok && old.Holder != r.Holder {
+			r.Holder = ""
+		}
+		cfg = cfg.WithRelease(a, r)
+	}
+	return cfg
+}
