--- a/core/rules/apply.go
+++ b/core/rules/apply.go
@@ -89,11 +89,18 @@
 	}
 	return refuse("", BaseConflict{
 		Mine: c, Theirs: last,
-		MineText:   strings.Join(Describe(before, after), ", "),
-		TheirsText: strings.Join(Describe(last.Before, before), ", "),
+		MineText:   summary(before, after),
+		TheirsText: summary(last.Before, before),
 	})
 }
 
+func summary(before, after model.Content) string {
+	if d := Describe(before, after); len(d) > 0 {
+		return strings.Join(d, ", ")
+	}
+	return "no difference"
+}
+
 // claims are the endpoints and the address (with port 0) of one customer.
 type claims struct {
 	holder string
