--- a/io/store/status.go
+++ b/io/store/status.go
@@ -139,3 +139,9 @@
 func (l *Log) PutLease(ctx context.Context, dc string, v Lease, version uint64) (uint64, error) {
 	return l.putRecord(ctx, leasePrefix+dc, v, version)
 }
+
+// Equal reports whether two records say the same.
+func (s Status) Equal(o Status) bool {
+	return s.DataCentre == o.DataCentre && s.Relay == o.Relay && s.Fencing == o.Fencing &&
+		s.Revision == o.Revision && maps.Equal(s.Acked, o.Acked)
+}
