--- a/io/store/append.go
+++ b/io/store/append.go
@@ -28,7 +28,7 @@
 // is safe. The error is a refusal by the rules, unavailable (the edit did not
 // take effect), or unknown_outcome.
 func (l *Log) Append(ctx context.Context, c rules.Change) (Accepted, error) {
-	t, err := l.Load(ctx)
+	t, err := l.latest(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
@@ -71,6 +71,24 @@
 	return Accepted{}, unresolved(lost, fault.New(fault.KindConflict, "other edits keep coming first", "try again"), c.ID)
 }
 
+func (l *Log) latest(ctx context.Context) (Tail, error) {
+	l.mu.Lock()
+	cfg := l.last
+	l.mu.Unlock()
+	if cfg.Revision == 0 {
+		return l.Load(ctx)
+	}
+	return l.Advance(ctx, cfg)
+}
+
+func (l *Log) remember(cfg model.Config) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cfg.Revision > l.last.Revision {
+		l.last = cfg
+	}
+}
+
 // decide validates the change against cfg. The host list and the status
 // records matter only while releases are remembered.
 func (l *Log) decide(ctx context.Context, cfg model.Config, c rules.Change) (rules.Change, model.Config, error) {
@@ -101,6 +119,7 @@
 		return Accepted{}, unresolved(true, err, c.ID)
 	}
 	if c.Revision > h.Revision {
+		l.remember(next)
 		return Accepted{Change: c, Config: next}, nil
 	}
 	t, err := l.Load(ctx)
--- a/io/store/log.go
+++ b/io/store/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 
 	"egretdock/core/fault"
 	"egretdock/core/model"
@@ -31,6 +32,11 @@
 // Safe for concurrent use.
 type Log struct {
 	objs Objects
+
+	// mu protects last, the configuration at the end of the last append. It
+	// spares a series of edits from loading the snapshot each time.
+	mu   sync.Mutex
+	last model.Config
 }
 
 // NewLog returns the log in the given store.
--- /dev/null
+++ b/io/subcmd/check.go
@@ -0,0 +1,95 @@
+package subcmd
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"egretdock/core/model"
+	"egretdock/core/rules"
+	"egretdock/io/config"
+)
+
+type check struct {
+	base
+	settings bool
+	online   bool
+}
+
+func (*check) Name() string     { return "check" }
+func (*check) Synopsis() string { return "check files without changing anything" }
+func (*check) Usage() string {
+	return `check [-online] [-platform URL] FILE...
+check -settings FILE...
+
+Checks files of templates and customers, or settings files. The files are
+checked as if they were the whole configuration; with -online they are checked
+against the configuration in the platform and its quarantine.
+
+Examples:
+  egretdock check desk.json customers/*.json
+  egretdock check -online -platform http://10.0.0.9:7070 customers/ann.json
+  egretdock check -settings /etc/egretdock/b1.json
+` + exitHelp
+}
+
+func (c *check) SetFlags(f *flag.FlagSet) {
+	c.platformFlag(f)
+	f.BoolVar(&c.settings, "settings", false, "check settings files")
+	f.BoolVar(&c.online, "online", false, "check against the configuration in the platform")
+}
+
+func (c *check) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.finish(c.Name(), c.run(ctx, f.Args()))
+}
+
+func (c *check) run(ctx context.Context, paths []string) error {
+	switch {
+	case len(paths) == 0:
+		return usage("name at least one file")
+	case c.settings:
+		for _, p := range paths {
+			if _, err := config.ReadSettings(p); err != nil {
+				return err
+			}
+			c.print("%s: settings are valid", p)
+		}
+		return nil
+	}
+	wanted, err := config.ReadFiles(paths)
+	if err != nil {
+		return err
+	}
+	var cfg model.Config
+	var acks rules.Acks
+	if c.online {
+		t, err := c.log().Load(ctx)
+		if err != nil {
+			return err
+		}
+		cfg = t.Config
+		if acks, err = c.log().Acks(ctx); err != nil {
+			return err
+		}
+	}
+	if err := rehearse(cfg, acks, rules.Change{ID: "in check", Author: c.User, Base: cfg.Revision}, wanted); err != nil {
+		return err
+	}
+	c.print("%d objects are valid", len(wanted))
+	return nil
+}
+
+// rehearse accepts the objects one after another without writing them, as
+// edits like the given one.
+func rehearse(cfg model.Config, acks rules.Acks, like rules.Change, wanted []config.Wanted) error {
+	for _, w := range wanted {
+		like.Body = w.Body()
+		_, next, err := rules.Accept(cfg, like, acks)
+		if err != nil {
+			return w.Locate(err)
+		}
+		cfg = next
+	}
+	return nil
+}
