Replay accepted changes without checking them again

A version with stricter rules would have stopped following the log at an edit that an older version had accepted, and edits after it would not have taken effect there. Replay now only computes the result; Apply checks before. Settings can also be checked against the service addresses in force.

Conclusion: balancers of different versions follow the same log.

--- a/core/rules/apply.go
+++ b/core/rules/apply.go
@@ -11,12 +11,13 @@
 // 4,700 changes a day a deletion can be backed out for two days.
 const tombstoneRevisions = 10000
 
-// Apply returns the configuration after the change. It checks everything but
-// the quarantine, which depends on what balancers had confirmed when the
-// change was accepted.
+// Apply checks the change and returns the configuration after it. It checks
+// everything but the quarantine, which depends on what balancers had confirmed
+// when the change was accepted.
 func Apply(cfg model.Config, c Change) (model.Config, error) {
-	if c.Revision != cfg.Revision+1 {
-		return cfg, refuse("", OutOfOrder{Have: cfg.Revision, Got: c.Revision})
+	next, err := Replay(cfg, c)
+	if err != nil {
+		return cfg, err
 	}
 	o := c.Object()
 	before := cfg.Content(o)
@@ -27,19 +28,35 @@
 	if err := checkBase(cfg, c, before, after); err != nil {
 		return cfg, err
 	}
-	next := cfg.WithContent(o, after).WithRevision(c.Revision)
 	if err := validate(next, before, after); err != nil {
 		return cfg, err
 	}
-	next = next.WithContent(o, sorted(after)).WithEdit(model.Edit{Object: o, Revision: c.Revision, ID: c.ID, Author: c.Author, Before: before})
+	return next, nil
+}
+
+// Replay returns the configuration after a change that was accepted before. It
+// does not check the change again: a version with stricter rules must follow
+// the same log.
+func Replay(cfg model.Config, c Change) (model.Config, error) {
+	if c.Revision != cfg.Revision+1 {
+		return cfg, refuse("", OutOfOrder{Have: cfg.Revision, Got: c.Revision})
+	}
+	after, err := result(cfg, c)
+	if err != nil {
+		return cfg, err
+	}
+	o := c.Object()
+	before := cfg.Content(o)
+	next := cfg.WithContent(o, sorted(after)).WithRevision(c.Revision)
+	next = next.WithEdit(model.Edit{Object: o, Revision: c.Revision, ID: c.ID, Author: c.Author, Before: before})
 	next = next.WithoutEdits(func(e model.Edit) bool {
 		return e.Revision+tombstoneRevisions < c.Revision && next.Content(e.Object) == nil
 	})
 	return release(next, c, claimsOf(before), claimsOf(after)), nil
 }
 
-// sorted puts lists in the order that the model promises. It comes after the
-// checks, whose paths count in the author's order.
+// sorted puts lists in the order that the model promises. The checks see the
+// author's order, in which their paths count.
 func sorted(v model.Content) model.Content {
 	switch v := v.(type) {
 	case model.Template:
--- a/io/config/setts.go
+++ b/io/config/setts.go
@@ -11,6 +11,7 @@
 	"runtime"
 
 	"egretdock/core/fault"
+	"egretdock/core/model"
 )
 
 // Settings configure one balancer process. The values in parentheses are the
@@ -190,3 +191,22 @@
 	x, y := a.Addr().Unmap(), b.Addr().Unmap()
 	return x == y || x.IsUnspecified() || y.IsUnspecified()
 }
+
+// CheckServices refuses a configuration that gives a customer an address at
+// which this process listens for something else.
+func (s Settings) CheckServices(cfg model.Config) error {
+	for _, name := range cfg.Customers() {
+		p, _ := cfg.Params(name)
+		t, _ := cfg.Template(p.Template)
+		for _, c := range t.Classes {
+			a := netip.AddrPortFrom(p.Address, c.Port)
+			for _, own := range []netip.AddrPort{s.UpstreamListen, s.PeerListen, s.FetchListen, s.AdminListen} {
+				if overlap(a, own) {
+					return fault.New(fault.KindInvalid, fmt.Sprintf("class %s of customer %s at %s coincides with %s, where balancer %s listens for other traffic", c.Name, name, a, own, s.Name),
+						"give the balancer other upstream, peer, fetch and admin addresses")
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/io/relay/keep.go
+++ b/io/relay/keep.go
@@ -73,7 +73,7 @@
 			if c.Revision <= k.cfg.Revision {
 				continue
 			}
-			next, err := rules.Apply(k.cfg, c)
+			next, err := rules.Replay(k.cfg, c)
 			if err != nil {
 				return fault.Wrap(err, fault.KindInternal, "a change from the log does not apply", "")
 			}
--- a/io/store/log.go
+++ b/io/store/log.go
@@ -110,7 +110,7 @@
 		if err != nil {
 			return Tail{}, false, err
 		}
-		next, err := rules.Apply(t.Config, c)
+		next, err := rules.Replay(t.Config, c)
 		if err != nil {
 			h, herr := l.horizon(ctx)
 			if herr == nil && h.Revision > cfg.Revision {
