--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -294,3 +295,35 @@
 		}
 	})
 }
+
+// BenchmarkSnapshot encodes and decodes at target size, and reports the memory
+// that the decoded configuration holds.
+func BenchmarkSnapshot(b *testing.B) {
+	src, err := EncodeSnapshot(target())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode", func(b *testing.B) {
+		cfg := target()
+		for b.Loop() {
+			if _, err := EncodeSnapshot(cfg); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		var cfg model.Config
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for b.Loop() {
+			if cfg, err = DecodeSnapshot(src); err != nil {
+				b.Fatal(err)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+		runtime.KeepAlive(cfg)
+	})
+}
