Detect failures and spread membership news

core/member now holds a SWIM failure detector: direct and indirect probes, suspicion with refutation by a higher incarnation, piggybacked updates, and a page-by-page comparison of member lists for joining and healing. io/gossip encodes and authenticates the messages.

Cause: the engine needs a view of the live balancers to find the owner of an upstream.

--- /dev/null
+++ b/core/member/config.go
@@ -0,0 +1,60 @@
+package member
+
+import "time"
+
+// Config holds the timing of failure detection. A zero field takes its default.
+type Config struct {
+	// ProbeInterval is the time between two probes (500 ms: two per second).
+	ProbeInterval time.Duration
+	// ContactInterval is the time between two probes of listed hosts that are
+	// not live (4 s). These probes are what heals a partition.
+	ContactInterval time.Duration
+	// DirectTimeout is the wait before a probe is repeated through others
+	// (300 ms, above the round trip between regions).
+	DirectTimeout time.Duration
+	// ProbeTimeout is the wait before an unanswered balancer is suspected
+	// (800 ms from the first ping).
+	ProbeTimeout time.Duration
+	// SuspicionTimeout is the time that a suspect has to refute (3 s).
+	SuspicionTimeout time.Duration
+	// Grace is the time after which a balancer that has not caught up with a
+	// peer acts as an owner nevertheless (5 s).
+	Grace time.Duration
+	// LeaveTimeout is the time after which a leaving balancer counts as dead
+	// (40 s: the 30 s that it may take to exit, and a margin).
+	LeaveTimeout time.Duration
+	// DeadMemory is the time during which a dead balancer's incarnation is
+	// remembered (5 min, above the life of any news in the fleet).
+	DeadMemory time.Duration
+	// MismatchTimeout is the time without agreement with any peer after which
+	// the member list is compared page by page (10 s, above the time that
+	// ordinary news takes to spread).
+	MismatchTimeout time.Duration
+	// PageInterval is the time between two pages of that comparison (2 s). A
+	// balancer that is catching up asks for a page on each tick.
+	PageInterval time.Duration
+}
+
+// WithDefaults returns a copy whose zero fields hold their defaults.
+func (c Config) WithDefaults() Config {
+	for _, f := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.ProbeInterval, 500 * time.Millisecond},
+		{&c.ContactInterval, 4 * time.Second},
+		{&c.DirectTimeout, 300 * time.Millisecond},
+		{&c.ProbeTimeout, 800 * time.Millisecond},
+		{&c.SuspicionTimeout, 3 * time.Second},
+		{&c.Grace, 5 * time.Second},
+		{&c.LeaveTimeout, 40 * time.Second},
+		{&c.DeadMemory, 5 * time.Minute},
+		{&c.MismatchTimeout, 10 * time.Second},
+		{&c.PageInterval, 2 * time.Second},
+	} {
+		if *f.field <= 0 {
+			*f.field = f.value
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/core/member/failure_test.go
@@ -0,0 +1,312 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+)
+
+// removal bounds the time from a failure to its removal everywhere in a small
+// fleet: one probe round of a data centre of four (2 s), an unanswered probe
+// (0.8 s), suspicion (3 s), and the spread of the news (2 s).
+const removal = 8 * time.Second
+
+// steady returns a fleet of 16 in 4 data centres whose cold start is over.
+func steady(t *testing.T) *fleet {
+	f := start(t, 16, 4)
+	f.settle(removal)
+	f.run(5 * time.Second)
+	return f
+}
+
+// dataCentres returns a network cut between the first n data centres and the
+// others.
+func dataCentres(n int) func(from, to model.Balancer) bool {
+	side := func(b model.Balancer) bool { return b.DataCentre < balancer(n, 16).DataCentre }
+	return func(from, to model.Balancer) bool { return side(from) != side(to) }
+}
+
+func assertSeen(t *testing.T, f *fleet, name string, want int) {
+	t.Helper()
+	if got := f.seenBy(name); got != want {
+		t.Errorf("%s is live in %d views, want %d (seed %d)", name, got, want, seed)
+	}
+}
+
+func assertAgree(t *testing.T, f *fleet, group []*node) {
+	t.Helper()
+	if !f.agree(group) {
+		t.Errorf("views of %d balancers differ from the running set (seed %d)", len(group), seed)
+	}
+}
+
+func assertSettled(t *testing.T, f *fleet, n *node, want bool) {
+	t.Helper()
+	if got := n.Settled(f.now); got != want {
+		t.Errorf("%s: Settled() = %v, want %v", n.Self().Name, got, want)
+	}
+}
+
+func assertIncarnation(t *testing.T, n *node, above uint64) {
+	t.Helper()
+	if got := n.Self().Incarnation; got <= above {
+		t.Errorf("%s: incarnation %d, want above %d", n.Self().Name, got, above)
+	}
+}
+
+func TestFailures(t *testing.T) {
+	// Guards against a dead balancer that keeps its upstreams.
+	t.Run("death", func(t *testing.T) {
+		f := steady(t)
+		f.nodes[3].stopped = true
+		name := f.nodes[3].Self().Name
+		f.await("removal", removal, func() bool { return f.seenBy(name) == 0 })
+		assertAgree(t, f, f.nodes)
+	})
+	// Guards against the removal of a balancer that only some can't reach.
+	t.Run("one link down", func(t *testing.T) {
+		f := steady(t)
+		a, b := f.nodes[0].Self(), f.nodes[4].Self()
+		f.cut = func(from, to model.Balancer) bool {
+			return from.Name == a.Name && to.Name == b.Name || from.Name == b.Name && to.Name == a.Name
+		}
+		f.run(time.Minute)
+		assertAgree(t, f, f.nodes)
+		if got := f.nodes[4].Self(); got != b {
+			t.Errorf("balancer had to refute: %+v, want %+v", got, b)
+		}
+	})
+	// Guards against the removal of a live balancer after a short disturbance.
+	t.Run("false suspicion", func(t *testing.T) {
+		f := steady(t)
+		b := f.nodes[3].Self()
+		f.cut = func(from, to model.Balancer) bool { return from.Name == b.Name || to.Name == b.Name }
+		f.run(2500 * time.Millisecond)
+		f.cut = nil
+		for range 100 {
+			f.run(100 * time.Millisecond)
+			assertSeen(t, f, b.Name, 15)
+		}
+		assertIncarnation(t, f.nodes[3], b.Incarnation)
+		assertAgree(t, f, f.nodes)
+	})
+	// Guards against an old process that stands in the way of its successor.
+	t.Run("restart", func(t *testing.T) {
+		f := steady(t)
+		b := f.nodes[3].Self()
+		b.Incarnation += 1000
+		b.Peer = balancer(903, 4).Peer
+		f.add(b)
+		took := f.await("replacement", 3*time.Second, func() bool {
+			assertSeen(t, f, b.Name, 15)
+			return f.agree(f.nodes)
+		})
+		t.Logf("replaced everywhere after %v", took)
+	})
+	// Guards against a restarted process whose clock was behind, so that its
+	// incarnation is lower than the one the fleet knows.
+	t.Run("restart with lower incarnation", func(t *testing.T) {
+		f := steady(t)
+		b := f.nodes[3].Self()
+		n := f.add(b.WithIncarnation(b.Incarnation - 1000))
+		f.settle(removal)
+		assertIncarnation(t, n, b.Incarnation)
+	})
+	// Guards against a leaving balancer that keeps ownership, or that can no
+	// longer be reached for the requests in flight, and against its return by
+	// late news.
+	t.Run("leave", func(t *testing.T) {
+		f := steady(t)
+		n := f.nodes[3]
+		name := n.Self().Name
+		n.Leave(f.now)
+		assertSettled(t, f, n, false)
+		f.await("end of ownership", 3*time.Second, func() bool { return f.seenBy(name) == 0 })
+		f.run(25 * time.Second)
+		for _, m := range f.nodes {
+			if _, ok := m.View().Reach(name); !ok {
+				t.Errorf("%s can't reach the leaving balancer", m.Self().Name)
+			}
+		}
+		n.stopped = true
+		f.run(time.Minute)
+		assertSeen(t, f, name, 0)
+		if _, ok := f.nodes[0].View().Reach(name); ok {
+			t.Error("the balancer is reachable a minute after its exit")
+		}
+	})
+}
+
+func TestPause(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		pause   time.Duration
+		removed bool
+	}{
+		// Guards against two owners: the pause is longer than the suspicion
+		// timeout, although nobody has removed the balancer yet.
+		{"unnoticed", 3200 * time.Millisecond, false},
+		// Guards against a resumed balancer that the fleet keeps out.
+		{"removed", 20 * time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := steady(t)
+			n := f.nodes[3]
+			before := n.Self()
+			n.paused = true
+			f.run(tc.pause)
+			if tc.removed {
+				assertSeen(t, f, before.Name, 0)
+			}
+			assertSettled(t, f, n, false)
+			f.resume(n)
+			assertSettled(t, f, n, false)
+			assertIncarnation(t, n, before.Incarnation)
+			f.await("settled", removal, func() bool { return n.Settled(f.now) })
+			f.settle(removal)
+		})
+	}
+	// Guards against false suspicions by a process that was paused for less
+	// than the suspicion timeout: the acks wait in its socket.
+	t.Run("short", func(t *testing.T) {
+		f := steady(t)
+		f.nodes[3].paused = true
+		f.run(1500 * time.Millisecond)
+		before := map[string]model.Balancer{}
+		for _, n := range f.nodes {
+			before[n.Self().Name] = n.Self()
+		}
+		n := f.nodes[3]
+		n.paused = false
+		f.post(n, n.Tick(f.now, n.rnd))
+		f.resume(n)
+		f.run(5 * time.Second)
+		for _, m := range f.nodes {
+			if m != n && m.Self() != before[m.Self().Name] {
+				t.Errorf("%s was suspected", m.Self().Name)
+			}
+		}
+	})
+	// Guards against a balancer that never serves because no peer answers.
+	t.Run("alone", func(t *testing.T) {
+		f := start(t, 1, 1)
+		f.run(time.Second)
+		assertSettled(t, f, f.nodes[0], false)
+		f.run(5 * time.Second)
+		assertSettled(t, f, f.nodes[0], true)
+	})
+}
+
+// Guards against a partition that leaves unreachable balancers as owners, or
+// that does not heal without help.
+func TestPartition(t *testing.T) {
+	f := steady(t)
+	f.cut = dataCentres(2)
+	var a, b []*node
+	for _, n := range f.nodes {
+		if n.Self().DataCentre < "dc-02" {
+			a = append(a, n)
+		} else {
+			b = append(b, n)
+		}
+	}
+	f.await("two sides", 2*removal, func() bool { return f.agree(a) && f.agree(b) })
+	// Longer than the dead are remembered.
+	f.run(6 * time.Minute)
+	assertAgree(t, f, a)
+	f.cut = nil
+	took := f.settle(15 * time.Second)
+	t.Logf("healed after %v", took)
+}
+
+func TestStaleNews(t *testing.T) {
+	f := steady(t)
+	dead := f.nodes[3].Self()
+	f.nodes[3].stopped = true
+	f.await("removal", removal, func() bool { return f.seenBy(dead.Name) == 0 })
+	n := f.nodes[0]
+	// Node 1 repeats an update from before the death.
+	late := member.Head{Seq: 1, From: f.nodes[1].Self(), Updates: []member.Update{{Balancer: dead}}}
+	hear := func(m member.Message) []member.Send { return n.Receive(f.now, m, n.rnd) }
+
+	// Guards against a dead balancer that late news brings back.
+	t.Run("not revived", func(t *testing.T) {
+		hear(&member.Ping{Head: late})
+		hear(&member.Page{Head: late})
+		hear(&member.Ping{Head: member.Head{Seq: 2, From: dead}})
+		assertSeen(t, f, dead.Name, 0)
+	})
+	// Guards against a sender that keeps spreading the stale news.
+	t.Run("sender is corrected", func(t *testing.T) {
+		for _, s := range hear(&member.Ping{Head: late}) {
+			for _, u := range s.Message.(*member.Ack).Updates {
+				if u.Balancer.Name == dead.Name && u.Status == member.StatusDead {
+					return
+				}
+			}
+		}
+		t.Error("the ack does not say that the balancer is dead")
+	})
+	// Guards against a joining balancer that takes late news for fresh.
+	t.Run("remembered by newcomers", func(t *testing.T) {
+		n := member.New(balancer(99, 4), member.Config{})
+		obit := late
+		obit.Updates = []member.Update{{Balancer: model.Balancer{Name: dead.Name, Incarnation: dead.Incarnation}, Status: member.StatusDead}}
+		n.Receive(f.now, &member.Ping{Head: obit}, f.rnd)
+		n.Receive(f.now, &member.Ping{Head: late}, f.rnd)
+		if _, ok := n.View().Get(dead.Name); ok {
+			t.Error("the dead balancer is live")
+		}
+	})
+	// Guards against memory that grows with each balancer that ever lived.
+	t.Run("forgotten when unlisted", func(t *testing.T) {
+		n.SetHosts(f.now, f.hosts[4:])
+		f.run(6 * time.Minute)
+		for _, a := range n.Revisions("") {
+			if a.Balancer.Name == dead.Name {
+				t.Error("the dead balancer is still known")
+			}
+		}
+	})
+}
+
+func TestHostList(t *testing.T) {
+	f := steady(t)
+	n := f.nodes[0]
+	// Guards against ownership by a host that is listed but does not run.
+	t.Run("listed but silent", func(t *testing.T) {
+		ghost := balancer(50, 4)
+		n.SetHosts(f.now, append(f.hosts[:16:16], ghost))
+		f.run(10 * time.Second)
+		assertSeen(t, f, ghost.Name, 0)
+	})
+	// Guards against a lagging list that keeps out a new balancer.
+	t.Run("running but not listed", func(*testing.T) {
+		f.add(balancer(16, 4))
+		f.settle(removal)
+	})
+	// Guards against a lagging list that removes a live balancer.
+	t.Run("removed from the list", func(t *testing.T) {
+		n.SetHosts(f.now, f.hosts[:4])
+		f.run(10 * time.Second)
+		assertAgree(t, f, f.nodes)
+	})
+	// Guards against a quarantine that ends while a listed balancer may still
+	// serve an old revision.
+	t.Run("lowest revision", func(t *testing.T) {
+		n.SetHosts(f.now, f.hosts)
+		for _, m := range f.nodes {
+			m.SetRevision(5)
+		}
+		f.await("revision 5", 10*time.Second, func() bool { return n.LowestRevision("dc-00") == 5 })
+		f.add(f.nodes[4].Self().WithIncarnation(f.nodes[4].Self().Incarnation + 1))
+		f.await("restart seen", 3*time.Second, func() bool { return n.LowestRevision("dc-00") == 0 })
+		f.nodes[4].SetRevision(6)
+		f.await("revision 6", 10*time.Second, func() bool { return n.LowestRevision("dc-00") == 5 })
+		if b, revision, ok := n.Newest(); !ok || revision != 6 || b != f.nodes[4].Self() {
+			t.Errorf("Newest() = %v, %d, %v, want %v, 6", b, revision, ok, f.nodes[4].Self())
+		}
+	})
+}
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -28,39 +28,76 @@
 	return "invalid"
 }
 
+// MaxUpdates is the number of updates piggybacked on one message.
+const MaxUpdates = 6
+
+// PageUpdates is the number of balancers in one Page. A page of balancers with
+// names of ordinary length fits an Ethernet frame.
+const PageUpdates = 20
+
 // Update is one piece of news about a balancer.
 type Update struct {
+	// Balancer has only its name and incarnation set when Status is
+	// StatusSuspect or StatusDead.
 	Balancer model.Balancer
 	Status   Status
 }
 
-// Ping probes a balancer.
-type Ping struct {
-	// Seq is echoed by the Ack.
-	Seq  uint64
+// Head is common to all messages. It is immutable.
+type Head struct {
+	// Seq is chosen by the sender of a Ping, PingRequest or Pull and echoed in
+	// the response.
+	Seq uint64
+	// From is the balancer that the message speaks for.
 	From model.Balancer
-	// Revision is the sender's configuration revision.
+	// Revision is From's configuration revision.
 	Revision uint64
-	Updates  []Update
+	// Digest identifies the set of live balancers that From sees.
+	Digest uint64
+	// Updates are at most MaxUpdates, or PageUpdates in a Page.
+	Updates []Update
 }
 
-// Ack answers a Ping.
-type Ack struct {
-	Seq      uint64
-	From     model.Balancer
-	Revision uint64
-	Updates  []Update
+// WithSeq returns a copy with another sequence number.
+func (h Head) WithSeq(seq uint64) Head {
+	h.Seq = seq
+	return h
 }
 
+// Ping probes a balancer.
+type Ping struct{ Head }
+
+// Ack answers a Ping. A balancer that pinged on behalf of another passes the
+// Ack on with the sequence number of the PingRequest.
+type Ack struct{ Head }
+
 // PingRequest asks the receiver to probe Target on behalf of From.
 type PingRequest struct {
-	Seq      uint64
-	From     model.Balancer
-	Target   model.Balancer
-	Revision uint64
-	Updates  []Update
+	Head
+	Target model.Balancer
+}
+
+// Pull asks for the live balancers whose names follow After.
+type Pull struct {
+	Head
+	After string
+}
+
+// Page answers a Pull. Its updates are in order of name.
+type Page struct {
+	Head
+	// Next is the After of the next Pull; empty when nothing follows.
+	Next string
+}
+
+// Send is a message on its way to another balancer. It is immutable.
+type Send struct {
+	To      model.Balancer
+	Message Message
 }
 
 func (*Ping) message()        {}
 func (*Ack) message()         {}
 func (*PingRequest) message() {}
+func (*Pull) message()        {}
+func (*Page) message()        {}
--- /dev/null
+++ b/core/member/order/ring.go
@@ -0,0 +1,63 @@
+// Package order yields names in shuffled round-robin order, so that every
+// balancer is probed once per round and no two balancers probe in the same
+// order.
+package order
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// Ring is a set of names in shuffled order. The zero value is empty. It is not
+// safe for concurrent use.
+type Ring struct {
+	names []string
+	// next is the index of the name that Next returns; names[:next] had their
+	// turn in this round.
+	next int
+	// added holds the names that have no place in the order yet.
+	added []string
+}
+
+// Add inserts a name that is not in the ring.
+func (r *Ring) Add(name string) { r.added = append(r.added, name) }
+
+// Remove deletes a name if it is in the ring.
+func (r *Ring) Remove(name string) {
+	if i := slices.Index(r.added, name); i >= 0 {
+		r.added = slices.Delete(r.added, i, i+1)
+		return
+	}
+	i := slices.Index(r.names, name)
+	if i < 0 {
+		return
+	}
+	r.names = slices.Delete(r.names, i, i+1)
+	if i < r.next {
+		r.next--
+	}
+}
+
+// Next advances to the next name. It reports false when the ring is empty.
+func (r *Ring) Next(rnd *rand.Rand) (string, bool) {
+	// A new name takes a random place in the rest of the round. Waiting for
+	// the next round would leave it without probes for minutes in a large
+	// fleet.
+	for _, name := range r.added {
+		r.names = slices.Insert(r.names, r.next+rnd.IntN(len(r.names)-r.next+1), name)
+	}
+	r.added = r.added[:0]
+	if len(r.names) == 0 {
+		return "", false
+	}
+	if r.next == len(r.names) {
+		r.next = 0
+		rnd.Shuffle(len(r.names), func(i, j int) { r.names[i], r.names[j] = r.names[j], r.names[i] })
+	}
+	name := r.names[r.next]
+	r.next++
+	return name, true
+}
+
+// Len returns the number of names.
+func (r *Ring) Len() int { return len(r.names) + len(r.added) }
--- /dev/null
+++ b/core/member/query.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"egretdock/core/model"
+)
+
+// View returns the balancers that are live or leaving, self included.
+func (s *State) View() View { return s.view }
+
+// Self returns this balancer with its current incarnation.
+func (s *State) Self() model.Balancer { return s.self }
+
+// Settled reports whether the balancer may act as an owner: its ticks are on
+// time, and since its start or last pause it has caught up with a peer or the
+// grace has passed.
+func (s *State) Settled(now time.Time) bool {
+	if s.ticked.IsZero() || s.left || s.paused(now) {
+		return false
+	}
+	return s.ready || now.Sub(s.joined) >= s.cfg.Grace
+}
+
+// paused reports whether the process was paused so long that its peers may
+// have removed it.
+func (s *State) paused(now time.Time) bool {
+	return !s.ticked.IsZero() && now.Sub(s.ticked) > s.cfg.SuspicionTimeout
+}
+
+// Acked is the highest configuration revision that a balancer has reported.
+type Acked struct {
+	Balancer model.Balancer
+	// Live is false for a leaving balancer and for a listed host that is not
+	// reachable.
+	Live bool
+	// Revision is 0 when this incarnation has not reported any.
+	Revision uint64
+}
+
+// Revisions returns the revisions reported by the balancers of a data centre,
+// or of all when it is empty, in order of name: self, the live, the leaving
+// and the listed ones.
+func (s *State) Revisions(dataCentre string) []Acked {
+	out := make([]Acked, 0, len(s.records)+1)
+	if dataCentre == "" || dataCentre == s.self.DataCentre {
+		out = append(out, Acked{Balancer: s.self, Live: !s.left, Revision: s.revision})
+	}
+	for _, r := range s.records {
+		if !r.listed && !r.live() && !r.leaving() {
+			continue
+		}
+		if dataCentre == "" || dataCentre == r.balancer.DataCentre {
+			out = append(out, Acked{Balancer: r.balancer, Live: r.live(), Revision: r.revision})
+		}
+	}
+	slices.SortFunc(out, func(a, b Acked) int { return strings.Compare(a.Balancer.Name, b.Balancer.Name) })
+	return out
+}
+
+// LowestRevision returns the lowest of Revisions. A listed host that has not
+// reported makes it 0, because a partitioned balancer still serves.
+func (s *State) LowestRevision(dataCentre string) uint64 {
+	var lowest uint64
+	for i, a := range s.Revisions(dataCentre) {
+		if i == 0 || a.Revision < lowest {
+			lowest = a.Revision
+		}
+	}
+	return lowest
+}
+
+// Newest returns the live balancer that has reported the highest configuration
+// revision, and that revision. It reports false when no other is live.
+func (s *State) Newest() (model.Balancer, uint64, bool) {
+	var best record
+	for _, b := range s.view.balancers {
+		if r := s.records[b.Name]; r.live() && (!best.heard || r.revision > best.revision) {
+			best = r
+		}
+	}
+	return best.balancer, best.revision, best.heard
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,24 +14,19 @@
 // View is the set of live balancers as one balancer sees it. It is immutable;
 // the zero value is empty.
 type View struct {
-	// balancers are sorted by name.
+	// balancers are live and sorted by name.
 	balancers []model.Balancer
+	// leaving are reachable but own nothing; sorted by name.
+	leaving []model.Balancer
 }
 
 // NewView returns a view of the given balancers.
-func NewView(bs []model.Balancer) View {
-	out := slices.Clone(bs)
-	slices.SortFunc(out, func(a, b model.Balancer) int {
-		switch {
-		case a.Name < b.Name:
-			return -1
-		case a.Name > b.Name:
-			return 1
-		default:
-			return 0
-		}
-	})
-	return View{balancers: out}
+func NewView(bs []model.Balancer) View { return View{balancers: sorted(bs)} }
+
+// WithLeaving returns a copy with the given balancers as the leaving ones.
+func (v View) WithLeaving(bs []model.Balancer) View {
+	v.leaving = sorted(bs)
+	return v
 }
 
 // Balancers returns the live balancers in order of name; users must not
@@ -40,28 +36,26 @@
 // Len returns the number of live balancers.
 func (v View) Len() int { return len(v.balancers) }
 
-// Get returns the named balancer.
-func (v View) Get(name string) (model.Balancer, bool) {
-	i, ok := slices.BinarySearchFunc(v.balancers, name, func(b model.Balancer, n string) int {
-		switch {
-		case b.Name < n:
-			return -1
-		case b.Name > n:
-			return 1
-		default:
-			return 0
-		}
-	})
-	if !ok {
-		return model.Balancer{}, false
+// Leaving returns the leaving balancers in order of name; users must not
+// modify the slice.
+func (v View) Leaving() []model.Balancer { return v.leaving }
+
+// Get returns the named live balancer.
+func (v View) Get(name string) (model.Balancer, bool) { return find(v.balancers, name) }
+
+// Reach returns the named balancer if packets can be sent to it: it is live or
+// leaving.
+func (v View) Reach(name string) (model.Balancer, bool) {
+	if b, ok := v.Get(name); ok {
+		return b, true
 	}
-	return v.balancers[i], true
+	return find(v.leaving, name)
 }
 
 // With returns a copy in which b is added or replaces the balancer of the same
 // name.
 func (v View) With(b model.Balancer) View {
-	return NewView(append(v.Without(b.Name).balancers, b))
+	return NewView(append(v.Without(b.Name).balancers, b)).WithLeaving(v.leaving)
 }
 
 // Without returns a copy that lacks the named balancer.
@@ -72,7 +66,7 @@
 			out = append(out, b)
 		}
 	}
-	return View{balancers: out}
+	return View{balancers: out, leaving: v.leaving}
 }
 
 // Owner returns the balancer that admits work for an upstream: the first by
@@ -105,6 +99,53 @@
 	return v.balancers[best], true
 }
 
+func sorted(bs []model.Balancer) []model.Balancer {
+	out := slices.Clone(bs)
+	slices.SortFunc(out, func(a, b model.Balancer) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// edit is a change of one balancer in a view.
+type edit struct {
+	balancer      model.Balancer
+	live, leaving bool
+}
+
+// withEdits returns a copy with the edits applied in order. It copies the view
+// once, however many edits there are.
+func (v View) withEdits(edits []edit) View {
+	v.balancers, v.leaving = slices.Clone(v.balancers), slices.Clone(v.leaving)
+	for _, e := range edits {
+		v.balancers = place(v.balancers, e.balancer, e.live)
+		v.leaving = place(v.leaving, e.balancer, e.leaving)
+	}
+	return v
+}
+
+// place puts b into a sorted slice, or takes it out.
+func place(bs []model.Balancer, b model.Balancer, in bool) []model.Balancer {
+	i, found := slices.BinarySearchFunc(bs, b.Name, byName)
+	switch {
+	case found && in:
+		bs[i] = b
+	case found:
+		return slices.Delete(bs, i, i+1)
+	case in:
+		return slices.Insert(bs, i, b)
+	}
+	return bs
+}
+
+func find(bs []model.Balancer, name string) (model.Balancer, bool) {
+	i, ok := slices.BinarySearchFunc(bs, name, byName)
+	if !ok {
+		return model.Balancer{}, false
+	}
+	return bs[i], true
+}
+
+func byName(b model.Balancer, name string) int { return strings.Compare(b.Name, name) }
+
 // mix spreads the combined hash of two names, so that the order of balancers
 // differs from one upstream to the next.
 func mix(x uint64) uint64 {
--- /dev/null
+++ b/io/gossip/decode.go
@@ -0,0 +1,228 @@
+package gossip
+
+import (
+	"net/netip"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+)
+
+// maxName bounds the names of balancers and data centres in bytes.
+const maxName = 64
+
+// frame is a decoded frame.
+type frame struct {
+	sender  uint64
+	counter uint64
+	message member.Message
+}
+
+// field is one decoded field; bytes or number holds its value.
+type field struct {
+	id     protowire.Number
+	bytes  []byte
+	number uint64
+}
+
+// each calls f for the fields of an encoded message. Fields of unknown wire
+// types are skipped, so that later versions can add some.
+func each(b []byte, f func(field) error) error {
+	for len(b) > 0 {
+		id, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		b = b[n:]
+		v := field{id: id}
+		switch typ {
+		case protowire.VarintType:
+			v.number, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			v.number, n = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			v.bytes, n = protowire.ConsumeBytes(b)
+		default:
+			v.id = 0
+			n = protowire.ConsumeFieldValue(id, typ, b)
+		}
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		b = b[n:]
+		if err := f(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decode(b []byte) (frame, error) {
+	var out frame
+	err := each(b, func(f field) error {
+		switch f.id {
+		case fieldSender:
+			out.sender = f.number
+			return nil
+		case fieldCounter:
+			out.counter = f.number
+			return nil
+		case fieldPing, fieldAck, fieldPingRequest, fieldPull, fieldPage:
+			if out.message != nil {
+				return errors.New("two messages in one frame")
+			}
+			m, err := decodeMessage(f)
+			out.message = m
+			return err
+		default:
+			// Fields of later versions are skipped.
+			return nil
+		}
+	})
+	switch {
+	case err != nil:
+		return frame{}, err
+	case out.message == nil:
+		return frame{}, errors.New("no known message in the frame")
+	case out.counter == 0:
+		return frame{}, errors.New("no counter in the frame")
+	}
+	return out, nil
+}
+
+// decodeMessage decodes a message by the field of the frame that holds it.
+func decodeMessage(f field) (member.Message, error) {
+	var h member.Head
+	var target model.Balancer
+	var name string
+	limit := member.MaxUpdates
+	if f.id == fieldPage {
+		limit = member.PageUpdates
+	}
+	err := each(f.bytes, func(f field) (err error) {
+		switch f.id {
+		case fieldSeq:
+			h.Seq = f.number
+		case fieldFrom:
+			h.From, err = decodeBalancer(f.bytes)
+		case fieldRevision:
+			h.Revision = f.number
+		case fieldDigest:
+			h.Digest = f.number
+		case fieldTarget:
+			target, err = decodeBalancer(f.bytes)
+		case fieldName:
+			name, err = decodeName(f.bytes)
+		case fieldUpdate:
+			if len(h.Updates) == limit {
+				return errors.Errorf("more than %d updates", limit)
+			}
+			var u member.Update
+			u, err = decodeUpdate(f.bytes)
+			h.Updates = append(h.Updates, u)
+		default:
+		}
+		return err
+	})
+	if err == nil {
+		err = reachable(h.From)
+	}
+	if err == nil && f.id == fieldPingRequest {
+		err = reachable(target)
+	}
+	if err != nil {
+		return nil, err
+	}
+	switch f.id {
+	case fieldPing:
+		return &member.Ping{Head: h}, nil
+	case fieldAck:
+		return &member.Ack{Head: h}, nil
+	case fieldPingRequest:
+		return &member.PingRequest{Head: h, Target: target}, nil
+	case fieldPull:
+		return &member.Pull{Head: h, After: name}, nil
+	default:
+		return &member.Page{Head: h, Next: name}, nil
+	}
+}
+
+// reachable returns an error if a balancer that must be answered has no name
+// or address.
+func reachable(b model.Balancer) error {
+	if b.Name == "" || !b.Peer.IsValid() {
+		return errors.Errorf("balancer %q without name or peer address", b.Name)
+	}
+	return nil
+}
+
+func decodeUpdate(b []byte) (member.Update, error) {
+	var u member.Update
+	err := each(b, func(f field) error {
+		if f.id == fieldStatus {
+			if f.number > uint64(member.StatusDead) {
+				return errors.Errorf("unknown status %d", f.number)
+			}
+			u.Status = member.Status(f.number)
+		}
+		return nil
+	})
+	if err != nil {
+		return u, err
+	}
+	u.Balancer, err = decodeBalancer(b)
+	if err == nil && u.Balancer.Name == "" {
+		err = errors.New("update without a name")
+	}
+	return u, err
+}
+
+func decodeBalancer(b []byte) (model.Balancer, error) {
+	var v model.Balancer
+	var fetch []byte
+	err := each(b, func(f field) (err error) {
+		switch f.id {
+		case fieldBalancer:
+			v.Name, err = decodeName(f.bytes)
+		case fieldDataCentre:
+			v.DataCentre, err = decodeName(f.bytes)
+		case fieldIncarnation:
+			v.Incarnation = f.number
+		case fieldPeer:
+			v.Peer, err = decodeAddr(f.bytes, netip.Addr{})
+		case fieldFetch:
+			fetch = f.bytes
+		default:
+		}
+		return err
+	})
+	if err == nil && fetch != nil {
+		v.Fetch, err = decodeAddr(fetch, v.Peer.Addr())
+	}
+	return v, err
+}
+
+func decodeName(b []byte) (string, error) {
+	if len(b) > maxName {
+		return "", errors.Errorf("name of %d bytes, at most %d are allowed", len(b), maxName)
+	}
+	return string(b), nil
+}
+
+// decodeAddr decodes an address; known stands in for an IP that is left out.
+func decodeAddr(b []byte, known netip.Addr) (netip.AddrPort, error) {
+	if len(b) < 2 {
+		return netip.AddrPort{}, errors.Errorf("address of %d bytes", len(b))
+	}
+	ip, ok := known, known.IsValid()
+	if len(b) > 2 {
+		ip, ok = netip.AddrFromSlice(b[:len(b)-2])
+	}
+	if !ok {
+		return netip.AddrPort{}, errors.Errorf("address of %d bytes", len(b))
+	}
+	port := b[len(b)-2:]
+	return netip.AddrPortFrom(ip, uint16(port[0])<<8|uint16(port[1])), nil
+}
--- /dev/null
+++ b/io/gossip/encode.go
@@ -0,0 +1,110 @@
+package gossip
+
+import (
+	"net/netip"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+)
+
+// Fields of a frame. Exactly one of the message fields is present.
+const (
+	fieldSender      protowire.Number = 1 // fixed64
+	fieldCounter     protowire.Number = 2 // uint64
+	fieldPing        protowire.Number = 3 // message
+	fieldAck         protowire.Number = 4 // message
+	fieldPingRequest protowire.Number = 5 // message
+	fieldPull        protowire.Number = 6 // message
+	fieldPage        protowire.Number = 7 // message
+)
+
+// Fields of a message.
+const (
+	fieldSeq      protowire.Number = 1 // uint64
+	fieldFrom     protowire.Number = 2 // balancer
+	fieldRevision protowire.Number = 3 // uint64
+	fieldDigest   protowire.Number = 4 // fixed64
+	fieldUpdate   protowire.Number = 5 // repeated update
+	fieldTarget   protowire.Number = 6 // balancer, ping_request only
+	fieldName     protowire.Number = 7 // string: after of pull, next of page
+)
+
+// Fields of a balancer and of an update; fieldStatus occurs in updates only.
+const (
+	fieldBalancer    protowire.Number = 1 // string
+	fieldDataCentre  protowire.Number = 2 // string
+	fieldIncarnation protowire.Number = 3 // uint64
+	fieldPeer        protowire.Number = 4 // bytes: IP, then port, big endian
+	fieldFetch       protowire.Number = 5 // bytes: as peer; the IP is left out if equal
+	fieldStatus      protowire.Number = 6 // uint64
+)
+
+func appendMessage(b []byte, m member.Message) []byte {
+	switch m := m.(type) {
+	case *member.Ping:
+		return appendBytes(b, fieldPing, appendHead(nil, &m.Head))
+	case *member.Ack:
+		return appendBytes(b, fieldAck, appendHead(nil, &m.Head))
+	case *member.PingRequest:
+		h := appendHead(nil, &m.Head)
+		return appendBytes(b, fieldPingRequest, appendBytes(h, fieldTarget, appendBalancer(nil, m.Target)))
+	case *member.Pull:
+		return appendBytes(b, fieldPull, appendString(appendHead(nil, &m.Head), fieldName, m.After))
+	case *member.Page:
+		return appendBytes(b, fieldPage, appendString(appendHead(nil, &m.Head), fieldName, m.Next))
+	}
+	return b
+}
+
+func appendHead(b []byte, h *member.Head) []byte {
+	b = appendUint(b, fieldSeq, h.Seq)
+	b = appendBytes(b, fieldFrom, appendBalancer(nil, h.From))
+	b = appendUint(b, fieldRevision, h.Revision)
+	b = protowire.AppendTag(b, fieldDigest, protowire.Fixed64Type)
+	b = protowire.AppendFixed64(b, h.Digest)
+	for _, u := range h.Updates {
+		b = appendBytes(b, fieldUpdate, appendUint(appendBalancer(nil, u.Balancer), fieldStatus, uint64(u.Status)))
+	}
+	return b
+}
+
+func appendBalancer(b []byte, v model.Balancer) []byte {
+	b = appendString(b, fieldBalancer, v.Name)
+	b = appendString(b, fieldDataCentre, v.DataCentre)
+	b = appendUint(b, fieldIncarnation, v.Incarnation)
+	if v.Peer.IsValid() {
+		b = appendBytes(b, fieldPeer, appendAddr(nil, v.Peer, netip.Addr{}))
+	}
+	if v.Fetch.IsValid() {
+		b = appendBytes(b, fieldFetch, appendAddr(nil, v.Fetch, v.Peer.Addr()))
+	}
+	return b
+}
+
+// appendAddr appends an address; the IP is left out if it is the known one.
+func appendAddr(b []byte, a netip.AddrPort, known netip.Addr) []byte {
+	if a.Addr() != known {
+		b = append(b, a.Addr().AsSlice()...)
+	}
+	return append(b, byte(a.Port()>>8), byte(a.Port()))
+}
+
+func appendUint(b []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
+}
+
+func appendString(b []byte, n protowire.Number, v string) []byte {
+	if v == "" {
+		return b
+	}
+	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), v)
+}
+
+func appendBytes(b []byte, n protowire.Number, v []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), v)
+}
--- /dev/null
+++ b/io/gossip/gossip_test.go
@@ -0,0 +1,174 @@
+package gossip
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"egretdock/core/fault"
+	"egretdock/core/member"
+	"egretdock/core/model"
+)
+
+var (
+	key   = []byte("0123456789abcdef")
+	begin = time.Unix(1_796_371_200, 0)
+	addrs = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+	four  = model.Balancer{
+		Name: "balancer-1", DataCentre: "dc-1", Incarnation: 3,
+		Peer: netip.MustParseAddrPort("10.0.0.1:7100"), Fetch: netip.MustParseAddrPort("10.0.0.1:7101"),
+	}
+	six  = model.Balancer{Name: "balancer-2", Peer: netip.MustParseAddrPort("[fd00::2]:7100"), Fetch: netip.MustParseAddrPort("10.9.0.2:7101")}
+	head = member.Head{Seq: 9, From: four, Revision: 77, Digest: 1 << 63, Updates: []member.Update{
+		{Balancer: six},
+		{Balancer: model.Balancer{Name: "balancer-3", Incarnation: 1 << 60}, Status: member.StatusDead},
+	}}
+	messages = []member.Message{
+		&member.Ping{Head: head}, &member.Ack{Head: head}, &member.PingRequest{Head: head, Target: six},
+		&member.Pull{Head: head, After: "balancer-2"}, &member.Page{Head: head, Next: "balancer-4"},
+		&member.Ping{Head: member.Head{From: six}},
+	}
+)
+
+func pair(t testing.TB, sender uint64) (*Sealer, *Opener) {
+	t.Helper()
+	s, err := NewSealer(key, sender)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := NewOpener(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, o
+}
+
+func assertOpens(t *testing.T, o *Opener, frame []byte, want member.Message) {
+	t.Helper()
+	got, err := o.Open(begin, frame)
+	if err != nil {
+		t.Fatalf("Open() = %v", err)
+	}
+	if diff := cmp.Diff(want, got, addrs); diff != "" {
+		t.Errorf("message differs (-sent +received):\n%s", diff)
+	}
+}
+
+func assertRejects(t *testing.T, o *Opener, frame []byte, want fault.Kind) {
+	t.Helper()
+	m, err := o.Open(begin, frame)
+	if err == nil || m != nil || fault.KindOf(err) != want {
+		t.Errorf("Open() = %v, %v; want an error of kind %v", m, err, want)
+	}
+}
+
+// Guards against fields that are lost or mixed up on the network.
+func TestRoundTrip(t *testing.T) {
+	s, o := pair(t, 1)
+	for _, m := range messages {
+		assertOpens(t, o, s.Seal(m), m)
+	}
+}
+
+func TestReject(t *testing.T) {
+	s, o := pair(t, 1)
+	frame := s.Seal(messages[0])
+	// Guards against news from outside the fleet.
+	t.Run("altered", func(t *testing.T) {
+		for i := range frame {
+			bad := append([]byte(nil), frame...)
+			bad[i] ^= 1
+			assertRejects(t, o, bad, fault.KindUnauthentic)
+		}
+	})
+	t.Run("other key", func(t *testing.T) {
+		other, err := NewOpener([]byte("fedcba9876543210"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertRejects(t, other, frame, fault.KindUnauthentic)
+	})
+	t.Run("short key", func(t *testing.T) {
+		if _, err := NewSealer(key[:15], 1); fault.KindOf(err) != fault.KindInvalid {
+			t.Errorf("NewSealer() = %v, want kind invalid", err)
+		}
+	})
+	// Guards against a peer of another version, or a faulty one, that makes
+	// the core act on a message without an address or of unbounded size.
+	for name, m := range map[string]member.Message{
+		"no sender":        &member.Ping{},
+		"no target":        &member.PingRequest{Head: head},
+		"unknown status":   &member.Ping{Head: member.Head{From: four, Updates: []member.Update{{Balancer: four, Status: 9}}}},
+		"nameless update":  &member.Ping{Head: member.Head{From: four, Updates: make([]member.Update, 1)}},
+		"too many updates": &member.Ping{Head: member.Head{From: four, Updates: make([]member.Update, member.MaxUpdates+1)}},
+		"long name":        &member.Pull{Head: head, After: string(make([]byte, maxName+1))},
+	} {
+		t.Run(name, func(t *testing.T) { assertRejects(t, o, s.Seal(m), fault.KindInvalid) })
+	}
+	t.Run("truncated", func(t *testing.T) { assertRejects(t, o, frame[:tagSize-1], fault.KindInvalid) })
+	t.Run("oversized", func(t *testing.T) { assertRejects(t, o, make([]byte, MaxFrame+1), fault.KindInvalid) })
+}
+
+// Guards against recorded frames that are sent again, and against the loss of
+// frames that merely overtake each other.
+func TestReplay(t *testing.T) {
+	s, o := pair(t, 1)
+	frames := make([][]byte, windowSize+2)
+	for i := range frames {
+		frames[i] = s.Seal(messages[0])
+	}
+	last := len(frames) - 1
+	for _, i := range []int{3, 2, last, last - 1} {
+		assertOpens(t, o, frames[i], messages[0])
+		assertRejects(t, o, frames[i], fault.KindUnauthentic)
+	}
+	t.Run("too late", func(t *testing.T) { assertRejects(t, o, frames[1], fault.KindUnauthentic) })
+	t.Run("other sender", func(t *testing.T) {
+		s, _ := pair(t, 2)
+		assertOpens(t, o, s.Seal(messages[0]), messages[0])
+	})
+	// Guards against memory that grows with each restart in the fleet, and
+	// against forgetting a sender that is still active.
+	t.Run("bounded memory", func(t *testing.T) {
+		var r replays
+		for i := range uint64(3 * maxSenders) {
+			now := begin.Add(time.Duration(i) * time.Second)
+			r.accept(now, i+2, 1)
+			r.accept(now, 1, i+1)
+		}
+		if len(r.windows) > maxSenders {
+			t.Errorf("%d senders are remembered, want at most %d", len(r.windows), maxSenders)
+		}
+		if r.accept(begin, 1, 3*maxSenders) {
+			t.Error("a frame of an active sender was accepted twice")
+		}
+	})
+}
+
+// Guards against input that crashes the decoder, and against messages that
+// change when they are encoded again.
+func FuzzDecode(f *testing.F) {
+	s, o := pair(f, 1)
+	for _, m := range messages {
+		frame := s.Seal(m)
+		f.Add(frame[:len(frame)-tagSize])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		got, err := decode(body)
+		if err != nil {
+			return
+		}
+		if _, err := o.Open(begin, body); err == nil {
+			t.Fatal("a frame without a tag was accepted")
+		}
+		again, err := decode(appendMessage(appendUint(nil, fieldCounter, 1), got.message))
+		if err != nil {
+			t.Fatalf("the message can't be decoded again: %v", err)
+		}
+		if diff := cmp.Diff(got.message, again.message, addrs); diff != "" {
+			t.Errorf("message changed (-first +second):\n%s", diff)
+		}
+	})
+}
