admit: add class shares, fair queues and the adaptive limit

Cause: the placeholder had one FIFO queue before a fixed limit, so a flood of one class or customer took the capacity of all others.

Change: per class a bounded queue with start-time fair queueing over customers; classes below their guaranteed share go first, then priority. A full queue drops the newest item of the customer with the most waiting items relative to its weight. Work that cannot finish in time is refused with a jittered retry_after. The concurrency limit follows sheds and latency over its moving minimum.

Tried: refusing on the estimate alone. An estimate from a bad moment was never renewed; it is now applied only while the class has items in flight.

--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -4,108 +4,261 @@
 package admit
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"egretdock/core/limit"
+	"egretdock/core/model"
 	"egretdock/core/packet"
 )
 
-// defaultSlots is the concurrency limit before an upstream reports its slots.
-const defaultSlots = 2
+const (
+	// defaultSlots is the concurrency limit before an upstream reports its
+	// slots.
+	defaultSlots = 2
+	// grantTime is how long an opening holds capacity without its request.
+	grantTime = 500 * time.Millisecond
+	// shareWindow is the time constant over which guaranteed shares are
+	// measured. It bounds the burst of a class that was idle.
+	shareWindow = time.Second
+)
 
 // Upstream is the admission state of one incarnation of one upstream. The zero
-// value admits defaultSlots items at a time.
+// value admits defaultSlots items at a time, without slow start.
 type Upstream struct {
-	slots int
-	// running holds the granted items; an item is never in both maps.
-	running map[Key]Item
-	queue   []Item
+	limit concurrency
+	// now is the latest time seen.
+	now time.Time
+	// classes are in order of first use.
+	classes []*class
+	// running holds the granted items and waiting the customers of the queued
+	// ones; a key is never in both.
+	running []grant
+	waiting map[Key]*customer
+	// dropped are the queued items that lost their place since Expire.
+	dropped []Dropped
+	// decayed is the time up to which the use of classes has decayed.
+	decayed time.Time
+}
+
+// grant is an item that holds capacity.
+type grant struct {
+	item     Item
+	customer *customer
+	since    time.Time
+	// charged is the capacity booked in advance, in slot seconds.
+	charged float64
+}
+
+// NewUpstream returns the state of an incarnation that starts at the given
+// time: its limit rises from 1 over the slow start.
+func NewUpstream(started time.Time) Upstream {
+	return Upstream{limit: concurrency{started: started}}
 }
 
 // SetSlots records the number of slots that the upstream reports.
-func (u *Upstream) SetSlots(n int) { u.slots = n }
+func (u *Upstream) SetSlots(n int) { u.limit = u.limit.WithSlots(n) }
 
-// Offer asks for capacity for an item.
+// Offer asks for capacity for an item. An item already granted or queued keeps
+// its place. Feeds and the openings of uploads are granted without capacity.
+// When the class's queue is full, the customer with the most waiting items
+// relative to its weight loses its newest one; Expire returns it.
 func (u *Upstream) Offer(now time.Time, it Item, rnd *rand.Rand) Verdict {
+	u.advance(now)
 	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
 		return Rejected{Reason: packet.ReasonDeadline}
 	}
+	if !holdsCapacity(it) || u.find(it.Key) >= 0 {
+		return Granted{}
+	}
+	if _, ok := u.waiting[it.Key]; ok {
+		return Queued{Length: len(u.waiting)}
+	}
+	c := u.class(it.Class)
+	cu := c.customer(it)
 	if u.Load().HasRoom() {
-		u.grant(it)
+		u.grant(cu, it)
 		return Granted{}
 	}
-	if len(u.queue) >= it.Class.Queue() {
-		return Rejected{Reason: packet.ReasonOverload, RetryAfter: time.Duration(rnd.Int64N(int64(time.Second)))}
+	wait := u.wait(cu)
+	if c.measured() && late(now, it, wait.Seconds()+c.hold()) {
+		return Rejected{Reason: packet.ReasonDeadline, RetryAfter: retryAfter(wait, rnd)}
+	}
+	if c.length >= it.Class.Queue() {
+		loser := c.longest(cu)
+		if loser == cu {
+			return Rejected{Reason: packet.ReasonOverload, RetryAfter: retryAfter(wait, rnd)}
+		}
+		u.drop(loser, len(loser.queue)-1, packet.ReasonOverload, retryAfter(wait, rnd))
 	}
-	u.queue = append(u.queue, it)
-	return Queued{Length: len(u.queue)}
+	if u.waiting == nil {
+		u.waiting = make(map[Key]*customer)
+	}
+	u.waiting[it.Key] = cu
+	c.push(cu, it)
+	return Queued{Length: len(u.waiting)}
 }
 
 // Transfer moves the grant of a flow's opening to its first request. It
 // reports false when no such grant exists.
 func (u *Upstream) Transfer(from, to Key) bool {
-	it, ok := u.running[from]
-	if !ok {
+	i := u.find(from)
+	if i < 0 {
 		return false
 	}
-	delete(u.running, from)
-	it.Key = to
-	u.running[to] = it
+	u.running[i].item.Key = to
 	return true
 }
 
 // Finish releases the capacity of a granted item.
-func (u *Upstream) Finish(_ time.Time, k Key, _ Outcome) { delete(u.running, k) }
+func (u *Upstream) Finish(now time.Time, k Key, o Outcome) {
+	u.advance(now)
+	i := u.find(k)
+	if i < 0 {
+		return
+	}
+	full := len(u.running) >= u.limit.At(now)
+	g := u.release(i)
+	c := g.customer.class
+	switch o := o.(type) {
+	case Answered:
+		c.holds = c.holds.WithSample(now, now.Sub(g.since))
+		c.answers = c.answers.WithSample(now, o.Latency)
+		u.limit = u.limit.WithAnswer(now, c.answers.Ratio(o.Latency), full)
+	case Shed:
+		u.limit = u.limit.WithShed(now, g.since)
+	case Abandoned:
+	}
+}
 
 // Remove drops a queued item and reports whether it was queued.
 func (u *Upstream) Remove(k Key) bool {
-	for i := range u.queue {
-		if u.queue[i].Key == k {
-			u.queue = append(u.queue[:i], u.queue[i+1:]...)
-			return true
-		}
+	cu, ok := u.waiting[k]
+	if ok {
+		u.take(cu, slices.IndexFunc(cu.queue, func(it Item) bool { return it.Key == k }))
 	}
-	return false
+	return ok
 }
 
 // Pop grants and returns the next queued item if there is capacity for it.
-func (u *Upstream) Pop(_ time.Time) (Item, bool) {
-	if len(u.queue) == 0 || len(u.running) >= u.Load().Limit {
-		return Item{}, false
+// Items that can no longer finish in time are passed over; Expire returns them.
+func (u *Upstream) Pop(now time.Time) (Item, bool) {
+	u.advance(now)
+	for len(u.waiting) > 0 && len(u.running) < u.limit.At(now) {
+		cu := u.next()
+		if cu.class.measured() && late(now, cu.queue[0], cu.class.hold()) {
+			u.drop(cu, 0, packet.ReasonDeadline, 0)
+			continue
+		}
+		it := u.take(cu, 0)
+		u.grant(cu, it)
+		return it, true
 	}
-	it := u.queue[0]
-	u.queue = u.queue[1:]
-	u.grant(it)
-	return it, true
+	return Item{}, false
 }
 
-// Expire drops the queued items whose deadline has passed.
+// Expire drops the queued items whose deadline has passed, and returns them
+// with those that lost their place since the last call.
 func (u *Upstream) Expire(now time.Time) []Dropped {
-	var out []Dropped
-	kept := u.queue[:0]
-	for _, it := range u.queue {
-		if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
-			out = append(out, Dropped{Item: it, Reason: packet.ReasonDeadline})
-			continue
+	u.advance(now)
+	for _, c := range u.classes {
+		for i := len(c.active) - 1; i >= 0; i-- {
+			cu := c.active[i]
+			for j := len(cu.queue) - 1; j >= 0; j-- {
+				if late(now, cu.queue[j], 0) {
+					u.drop(cu, j, packet.ReasonDeadline, 0)
+				}
+			}
+		}
+	}
+	out := u.dropped
+	u.dropped = nil
+	return out
+}
+
+// Lapse releases the grants of openings that were not followed by their
+// request in time, and returns their items.
+func (u *Upstream) Lapse(now time.Time) []Item {
+	u.advance(now)
+	var out []Item
+	for i := len(u.running) - 1; i >= 0; i-- {
+		if g := u.running[i]; g.item.Key.Request == 0 && now.Sub(g.since) >= grantTime {
+			u.release(i)
+			out = append(out, g.item)
 		}
-		kept = append(kept, it)
 	}
-	u.queue = kept
 	return out
 }
 
-// Load returns the current use.
-func (u *Upstream) Load() Load {
-	limit := u.slots
-	if limit <= 0 {
-		limit = defaultSlots
+// advance lets the recent use of the classes decay.
+func (u *Upstream) advance(now time.Time) {
+	if !now.After(u.now) {
+		return
+	}
+	u.now = now
+	if now.Sub(u.decayed) < shareWindow/100 {
+		return
+	}
+	f := math.Exp(-now.Sub(u.decayed).Seconds() / shareWindow.Seconds())
+	u.decayed = now
+	for _, c := range u.classes {
+		c.used *= f
 	}
-	return Load{InFlight: len(u.running), Queued: len(u.queue), Limit: limit}
 }
 
-func (u *Upstream) grant(it Item) {
-	if u.running == nil {
-		u.running = make(map[Key]Item)
+// class returns the state of a class and applies its current settings.
+func (u *Upstream) class(m model.Class) *class {
+	for _, c := range u.classes {
+		if c.model.Name == m.Name {
+			c.model = m
+			return c
+		}
 	}
-	u.running[it.Key] = it
+	c := &class{model: m, customers: make(map[string]*customer)}
+	u.classes = append(u.classes, c)
+	return c
 }
+
+func (u *Upstream) grant(cu *customer, it Item) {
+	hold := cu.class.hold()
+	cu.class.charge(cu, hold)
+	u.running = append(u.running, grant{item: it, customer: cu, since: u.now, charged: hold})
+}
+
+// release ends a grant and books the capacity that it really used, so that
+// customers with slow requests or openings without requests pay for them.
+func (u *Upstream) release(i int) grant {
+	g := u.running[i]
+	last := len(u.running) - 1
+	u.running[i] = u.running[last]
+	u.running[last] = grant{}
+	u.running = u.running[:last]
+	g.customer.running--
+	g.customer.class.running--
+	g.customer.class.settle(g.customer, u.now.Sub(g.since).Seconds()-g.charged)
+	return g
+}
+
+func (u *Upstream) take(cu *customer, i int) Item {
+	it := cu.class.take(cu, i)
+	delete(u.waiting, it.Key)
+	return it
+}
+
+func (u *Upstream) drop(cu *customer, i int, r packet.Reason, after time.Duration) {
+	u.dropped = append(u.dropped, Dropped{Item: u.take(cu, i), Reason: r, RetryAfter: after})
+}
+
+// retryAfter spreads the return of refused work around the time that the queue
+// needs.
+func retryAfter(wait time.Duration, rnd *rand.Rand) time.Duration {
+	return limit.Jitter(min(max(wait, minRetryAfter), maxRetryAfter), rnd)
+}
+
+const (
+	// minRetryAfter is 5 service times of 20 ms.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
