admit: grant the newest item first under lasting overload

Cause: in order of arrival, a customer's queue under overload holds items that are about to expire, and many of those granted miss their deadline inside the upstream.

Change: once a customer's queue has been in use for 200 ms, its newest item goes first and the oldest is dropped first.

Conclusion: newest-first under lasting overload; in order of arrival otherwise, which keeps bursts within a customer's share in order.

--- a/core/admit/class.go
+++ b/core/admit/class.go
@@ -42,8 +42,10 @@
 	weight float64
 	// pass is the capacity received, in slot seconds over weight.
 	pass float64
-	// queue is in order of arrival; items in flight count in running.
-	queue   []Item
+	// queue is in order of arrival and has not been empty since the given time.
+	queue []Item
+	since time.Time
+	// running counts the granted items.
 	running int
 }
 
@@ -82,8 +84,9 @@
 }
 
 // push appends an item to its customer's queue.
-func (c *class) push(cu *customer, it Item) {
+func (c *class) push(now time.Time, cu *customer, it Item) {
 	if len(cu.queue) == 0 {
+		cu.since = now
 		cu.pass = max(cu.pass, c.clock)
 		c.active = append(c.active, cu)
 	}
@@ -143,6 +146,26 @@
 	return top
 }
 
+// backlogAfter is the time for which a customer's queue is in use before its
+// newest items go first. It is longer than the bursts of a customer within its
+// share: 10 service times of 20 ms.
+const backlogAfter = 200 * time.Millisecond
+
+// turn returns the index of the customer's item that is granted next: the
+// oldest, or the newest under lasting overload. Then the oldest would be granted
+// just before their deadline and most would miss it.
+func (cu *customer) turn(now time.Time) int {
+	if cu.backlogged(now) {
+		return len(cu.queue) - 1
+	}
+	return 0
+}
+
+// spare returns the index of the item that is dropped first.
+func (cu *customer) spare(now time.Time) int { return len(cu.queue) - 1 - cu.turn(now) }
+
+func (cu *customer) backlogged(now time.Time) bool { return now.Sub(cu.since) >= backlogAfter }
+
 // longest returns the customer with the most waiting items relative to its
 // weight, counting the item that joining is about to add.
 func (c *class) longest(joining *customer) *customer {
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -64,7 +64,8 @@
 // Offer asks for capacity for an item. An item already granted or queued keeps
 // its place. Feeds and the openings of uploads are granted without capacity.
 // When the class's queue is full, the customer with the most waiting items
-// relative to its weight loses its newest one; Expire returns it.
+// relative to its weight loses the one that it would be granted last; Expire
+// returns it.
 func (u *Upstream) Offer(now time.Time, it Item, rnd *rand.Rand) Verdict {
 	u.advance(now)
 	if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
@@ -91,13 +92,13 @@
 		if loser == cu {
 			return Rejected{Reason: packet.ReasonOverload, RetryAfter: retryAfter(wait, rnd)}
 		}
-		u.drop(loser, len(loser.queue)-1, packet.ReasonOverload, retryAfter(wait, rnd))
+		u.drop(loser, loser.spare(now), packet.ReasonOverload, retryAfter(wait, rnd))
 	}
 	if u.waiting == nil {
 		u.waiting = make(map[Key]*customer)
 	}
 	u.waiting[it.Key] = cu
-	c.push(cu, it)
+	c.push(now, cu, it)
 	return Queued{Length: len(u.waiting)}
 }
 
@@ -148,11 +149,12 @@
 	u.advance(now)
 	for len(u.waiting) > 0 && len(u.running) < u.limit.At(now) {
 		cu := u.next()
-		if cu.class.measured() && late(now, cu.queue[0], cu.class.hold()) {
-			u.drop(cu, 0, packet.ReasonDeadline, 0)
+		i := cu.turn(now)
+		if cu.class.measured() && late(now, cu.queue[i], cu.class.hold()) {
+			u.drop(cu, i, packet.ReasonDeadline, 0)
 			continue
 		}
-		it := u.take(cu, 0)
+		it := u.take(cu, i)
 		u.grant(cu, it)
 		return it, true
 	}
