health: join reports with passing traffic

Cause: health and load endpoints lag or mislead, and the host list lags and knows no incarnations.

Change: an immutable state takes signals of a sealed interface. Traffic outweighs reports; a new incarnation forgets everything; draining from any source stays for its incarnation; an ejection doubles from 5 s to 60 s, then traffic tries again. EligibleIn caps ejections at a third of the upstreams that don't drain.

The tests found that failures before the first known incarnation were ignored, so an upstream that is dead when a balancer starts was never ejected; they now count.

--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,176 @@
+package health
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1e9, 0)
+
+var (
+	good   = Report{Incarnation: 1, Healthy: true, Slots: 2}
+	bad    = Report{Incarnation: 1}
+	answer = Answered{Incarnation: 1}
+	fail   = Failed{Incarnation: 1}
+	shed   = Refused{Incarnation: 1}
+)
+
+// after plays signals at intervals of 100 ms and returns the state and the time
+// of the last.
+func after(s State, now time.Time, signals ...Signal) (State, time.Time) {
+	for _, sig := range signals {
+		now = now.Add(100 * time.Millisecond)
+		s = s.With(now, sig)
+	}
+	return s, now
+}
+
+func times(n int, signals ...Signal) (out []Signal) {
+	for range n {
+		out = append(out, signals...)
+	}
+	return out
+}
+
+func assertEligible(t *testing.T, s State, now time.Time, want bool) {
+	t.Helper()
+	if got := s.Eligible(now); got != want {
+		t.Errorf("Eligible = %v, want %v", got, want)
+	}
+}
+
+// Guards against reports that overrule passing traffic, and against ejection by
+// single lost packets or bursts of sheds.
+func TestEligible(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		signals []Signal
+		want    bool
+	}{
+		{"nothing known", nil, true},
+		{"one bad report", times(1, bad), true},
+		{"endpoint silent", times(2, Report{}), false},
+		{"healthy again", append(times(2, bad), good), true},
+		{"traffic succeeds, endpoint unhealthy", times(50, answer, bad), true},
+		{"traffic fails, endpoint healthy", times(failLimit, fail, good), false},
+		{"traffic fails, flows are accepted", times(failLimit, Accepted{1}, fail), false},
+		{"openings fail", times(failLimit, Failed{Incarnation: 1, Opening: true}), false},
+		{"some openings are lost", times(50, Failed{Incarnation: 1, Opening: true}, Accepted{1}), true},
+		{"some requests are lost", times(50, fail, answer), true},
+		{"late answer after failures", append(times(failLimit, fail), answer), true},
+		{"sheds some", times(5, append(times(shedLimit-1, shed), answer)...), true},
+		{"sheds all", times(shedLimit, shed), false},
+		{"failures of a former incarnation", append([]Signal{good, Report{Incarnation: 2, Healthy: true}}, times(failLimit, fail)...), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, now := after(State{}, start, append([]Signal{good}, tc.signals...)...)
+			assertEligible(t, s, now, tc.want)
+		})
+	}
+}
+
+// Guards against an upstream that is never tried again, and against one that
+// stays ill but gets as much trial traffic as a healthy one.
+func TestEjectionEnds(t *testing.T) {
+	s, now := after(State{}, start, times(failLimit, fail)...)
+	for _, d := range []time.Duration{5 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second, time.Minute, time.Minute} {
+		assertEligible(t, s, now.Add(d-1), false)
+		assertEligible(t, s, now.Add(d), true)
+		now = now.Add(d)
+		s = s.With(now, fail)
+	}
+	assertEligible(t, s.With(now, answer), now, true)
+}
+
+// Guards against draining that ends before the incarnation does, that passes to
+// the next incarnation with lagging news, or that lets requests in after 3 s.
+func TestDraining(t *testing.T) {
+	for name, source := range map[string]Signal{
+		"report":    Report{Incarnation: 1, Healthy: true, Draining: true},
+		"host list": HostList{Leaving: true},
+		"refusal":   Refused{Incarnation: 1, Draining: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, began := after(State{}, start, good, source)
+			s, now := after(s, began, good, answer, HostList{}, source)
+			assertEligible(t, s, now, false)
+			if s.DrainingFor(now) != now.Sub(began) {
+				t.Errorf("DrainingFor = %v, want %v", s.DrainingFor(now), now.Sub(began))
+			}
+			if at := began.Add(3 * time.Second); s.RefusesRequests(at.Add(-1)) || !s.RefusesRequests(at) {
+				t.Error("requests must be refused from 3 s on")
+			}
+			s, now = after(s, now, Answered{Incarnation: 2}, source, source)
+			assertEligible(t, s, now, true)
+		})
+	}
+}
+
+// Guards against state that outlives an incarnation, lagging reports that bring
+// one back, and invented ones that hide the real one.
+func TestIncarnation(t *testing.T) {
+	assert := func(t *testing.T, s State, want uint64) {
+		t.Helper()
+		if s.Incarnation() != want {
+			t.Errorf("Incarnation = %d, want %d", s.Incarnation(), want)
+		}
+	}
+	s, now := after(State{}, start, append([]Signal{good}, times(failLimit, fail)...)...)
+	if _, ok := s.Replaced(); ok {
+		t.Error("an upstream that was found running must not start slowly")
+	}
+	s, now = after(s, now, Answered{Incarnation: 2})
+	assertEligible(t, s, now, true)
+	if at, ok := s.Replaced(); !ok || !at.Equal(now) || s.Slots() != 0 {
+		t.Errorf("Replaced = %v, %v with %d slots, want %v and no slots", at, ok, s.Slots(), now)
+	}
+	t.Run("lagging report", func(t *testing.T) {
+		s, _ := after(s, now, times(50, Signal(good))...)
+		assert(t, s, 2)
+	})
+	t.Run("late answer", func(t *testing.T) {
+		s, _ := after(s, now, answer)
+		assert(t, s, 2)
+	})
+	t.Run("invented by a report", func(t *testing.T) {
+		s, _ := after(s, now, times(50, Signal(Answered{2}), Report{Incarnation: 9, Healthy: true})...)
+		assert(t, s, 2)
+	})
+}
+
+// Guards against ejecting most of a service when the observer is at fault.
+func TestEligibleIn(t *testing.T) {
+	ill, now := after(State{}, start, times(failLimit, fail)...)
+	drained, _ := after(State{}, start, Refused{Incarnation: 1, Draining: true})
+	for _, tc := range []struct {
+		name         string
+		ill, drained int
+		of, want     int
+	}{
+		{"few are ill", 4, 0, 15, 11},
+		{"all are ill", 15, 0, 15, 10},
+		{"a small service", 2, 0, 2, 2},
+		{"draining does not count", 9, 6, 15, 6},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			service := make([]State, tc.of)
+			for i := range service {
+				switch {
+				case i < tc.ill:
+					service[i] = ill
+				case i < tc.ill+tc.drained:
+					service[i] = drained
+				}
+			}
+			got := 0
+			for i := range service {
+				if EligibleIn(now, i, service) {
+					got++
+				}
+			}
+			if got != tc.want {
+				t.Errorf("%d eligible, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/health/query.go
@@ -0,0 +1,59 @@
+package health
+
+import "time"
+
+// Incarnation returns the incarnation, or 0 when it is unknown.
+func (s State) Incarnation() uint64 { return s.incarnation }
+
+// Replaced returns the time at which this incarnation replaced another. It
+// reports false for one that was found running, which needs no slow start.
+func (s State) Replaced() (time.Time, bool) { return s.replaced, !s.replaced.IsZero() }
+
+// Slots returns the number of slots reported, or 0.
+func (s State) Slots() int { return s.slots }
+
+// Draining reports whether this incarnation drains; it never stops to.
+func (s State) Draining() bool { return !s.draining.IsZero() }
+
+// DrainingFor returns the time since draining began, or 0.
+func (s State) DrainingFor(now time.Time) time.Duration {
+	if !s.Draining() {
+		return 0
+	}
+	return now.Sub(s.draining)
+}
+
+// RefusesRequests reports whether new requests on established flows must be
+// refused because the upstream drains.
+func (s State) RefusesRequests(now time.Time) bool {
+	return s.Draining() && s.DrainingFor(now) >= drainGrace
+}
+
+// Ejected reports whether the upstream is out of use on health alone.
+func (s State) Ejected(now time.Time) bool { return now.Before(s.until) }
+
+// Eligible reports whether the upstream may get new flows, when the other
+// upstreams of its service can take its part.
+func (s State) Eligible(now time.Time) bool { return !s.Draining() && !s.Ejected(now) }
+
+// EligibleIn reports whether the i-th upstream of a service may get new flows.
+// At most a third of those that don't drain are ejected, the earliest first:
+// when more look ill, the fault is likely in the observer or the load.
+func EligibleIn(now time.Time, i int, service []State) bool {
+	s := &service[i]
+	if s.Draining() || !s.Ejected(now) {
+		return !s.Draining()
+	}
+	members, earlier := 0, 0
+	for j := range service {
+		o := &service[j]
+		if o.Draining() {
+			continue
+		}
+		members++
+		if o.Ejected(now) && (o.ejected.Before(s.ejected) || o.ejected.Equal(s.ejected) && j < i) {
+			earlier++
+		}
+	}
+	return earlier >= members/3
+}
--- /dev/null
+++ b/core/health/state.go
@@ -0,0 +1,224 @@
+package health
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// failLimit is the number of failures in a row that ejects. A single lost
+	// packet must not.
+	failLimit = 5
+	// shedLimit is the number of sheds in a row that ejects. Sheds come in
+	// bursts before the concurrency limit has followed.
+	shedLimit = 20
+	// reportLimit is the number of bad reports in a row that ejects.
+	reportLimit = 2
+	// trafficTime is how long a success of passing traffic outweighs reports.
+	trafficTime = 5 * time.Second
+	// ejectFirst and ejectMost bound the time of an ejection, which doubles
+	// each time in a row. Afterwards traffic tries the upstream again, since
+	// without traffic a lying report could never be refuted.
+	ejectFirst, ejectMost = 5 * time.Second, time.Minute
+	// drainGrace is the time that established flows keep after draining began.
+	drainGrace = 3 * time.Second
+	// lateTime is how long packets of an incarnation may arrive after it was
+	// replaced.
+	lateTime = 2 * time.Second
+	// formerKept is the number of replaced incarnations whose lagging reports
+	// are recognized.
+	formerKept = 4
+)
+
+// State is what is known of one upstream. It is immutable; the zero value knows
+// nothing and is eligible.
+type State struct {
+	// incarnation is 0 before it is known.
+	incarnation uint64
+	// former are the incarnations before, latest first; never modified in place.
+	former []uint64
+	// replaced is the time at which the incarnation replaced another, or zero.
+	replaced time.Time
+	slots    int
+	// draining is the time at which draining began, or zero.
+	draining time.Time
+	// leaving is what the host list said last, for whichever incarnation.
+	leaving bool
+	// success is the time of the last success of passing traffic.
+	success time.Time
+	// opens, requests, sheds and reports count bad signals in a row.
+	opens, requests, sheds, reports int
+	// ejected and until are the start and end of the last ejection in a row of
+	// ejections without a success between them.
+	ejected, until time.Time
+	ejections      int
+	// reported is true when only reports caused the ejection.
+	reported bool
+}
+
+// With returns a copy that has seen a signal.
+func (s State) With(now time.Time, sig Signal) State {
+	switch sig := sig.(type) {
+	case Report:
+		return s.withReport(now, sig)
+	case HostList:
+		return s.withHostList(now, sig)
+	case Accepted:
+		if s, ok := s.withTraffic(now, sig.Incarnation); ok {
+			return s.withAccept(now)
+		}
+	case Answered:
+		if s, ok := s.withTraffic(now, sig.Incarnation); ok {
+			return s.withAnswer(now)
+		}
+	case Refused:
+		if s, ok := s.withTraffic(now, sig.Incarnation); ok {
+			return s.withRefusal(now, sig)
+		}
+	case Failed:
+		// A failure never proves an incarnation, but counts while none is known.
+		if sig.Incarnation == s.incarnation || sig.Incarnation == 0 || s.incarnation == 0 {
+			return s.withFailure(now, sig)
+		}
+	}
+	return s
+}
+
+func (s State) withReport(now time.Time, r Report) State {
+	if slices.Contains(s.former, r.Incarnation) {
+		return s
+	}
+	s = s.withIncarnation(now, r.Incarnation)
+	if r.Slots > 0 {
+		s.slots = r.Slots
+	}
+	if r.Draining {
+		s = s.withDraining(now)
+	}
+	if r.Healthy {
+		s.reports = 0
+		if s.reported {
+			s = s.withoutEjection()
+		}
+		return s
+	}
+	s.reports++
+	if s.reports >= reportLimit && now.Sub(s.success) > trafficTime {
+		s = s.withEjection(now, true)
+	}
+	return s
+}
+
+// withHostList lets draining begin when the list says for the first time that
+// the host leaves. An entry that lags behind a restart changes nothing.
+func (s State) withHostList(now time.Time, l HostList) State {
+	if l.Leaving && !s.leaving {
+		s = s.withDraining(now)
+	}
+	s.leaving = l.Leaving
+	return s
+}
+
+// withTraffic returns the state of the incarnation that a packet proves, and
+// false for packets that arrive late from a former one.
+func (s State) withTraffic(now time.Time, incarnation uint64) (State, bool) {
+	if slices.Contains(s.former, incarnation) && now.Sub(s.replaced) < lateTime {
+		return s, false
+	}
+	return s.withIncarnation(now, incarnation), true
+}
+
+// withIncarnation forgets everything when the incarnation changes.
+func (s State) withIncarnation(now time.Time, incarnation uint64) State {
+	switch {
+	case incarnation == 0 || incarnation == s.incarnation:
+		return s
+	case s.incarnation == 0:
+		s.incarnation = incarnation
+		return s
+	}
+	former := make([]uint64, 0, formerKept+1)
+	former = append(former, s.incarnation)
+	for _, f := range s.former {
+		if f != incarnation {
+			former = append(former, f)
+		}
+	}
+	return State{
+		incarnation: incarnation,
+		former:      former[:min(len(former), formerKept)],
+		replaced:    now,
+		leaving:     s.leaving,
+	}
+}
+
+// withAccept counts as success only while requests do not fail: an upstream may
+// accept flows and answer nothing.
+func (s State) withAccept(now time.Time) State {
+	s.opens = 0
+	if s.requests == 0 && s.sheds == 0 {
+		return s.withSuccess(now)
+	}
+	return s
+}
+
+func (s State) withAnswer(now time.Time) State {
+	s.opens, s.requests, s.sheds = 0, 0, 0
+	return s.withSuccess(now)
+}
+
+func (s State) withSuccess(now time.Time) State {
+	s.success = now
+	s.reports = 0
+	return s.withoutEjection()
+}
+
+func (s State) withRefusal(now time.Time, r Refused) State {
+	if r.Draining {
+		return s.withDraining(now)
+	}
+	s.sheds++
+	if s.sheds >= shedLimit {
+		s = s.withEjection(now, false)
+	}
+	return s
+}
+
+func (s State) withFailure(now time.Time, f Failed) State {
+	if f.Opening {
+		s.opens++
+	} else {
+		s.requests++
+	}
+	if max(s.opens, s.requests) >= failLimit {
+		s = s.withEjection(now, false)
+	}
+	return s
+}
+
+func (s State) withDraining(now time.Time) State {
+	if s.draining.IsZero() {
+		s.draining = now
+	}
+	return s
+}
+
+// withEjection starts an ejection. Counters stay one below their limits, so
+// that the first bad signal of traffic after the ejection starts the next.
+func (s State) withEjection(now time.Time, reported bool) State {
+	s.opens, s.requests, s.sheds = min(s.opens, failLimit-1), min(s.requests, failLimit-1), min(s.sheds, shedLimit-1)
+	s.reports = 0
+	if now.Before(s.until) {
+		s.reported = s.reported && reported
+		return s
+	}
+	s.ejected, s.reported = now, reported
+	s.until = now.Add(min(ejectFirst<<min(s.ejections, 8), ejectMost))
+	s.ejections++
+	return s
+}
+
+func (s State) withoutEjection() State {
+	s.ejected, s.until, s.ejections, s.reported = time.Time{}, time.Time{}, 0, false
+	return s
+}
