--- a/core/cmds/admit.go
+++ b/core/cmds/admit.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// DrainGrace is how long a draining upstream still gets new requests on
-	// flows that are already open. The stated bound is 3 s; the rest covers
-	// the time until the owner learns of the drain.
-	DrainGrace = 2 * time.Second
 	// maxPending bounds the entries of one upstream: its connections, each
 	// with one request in progress.
 	maxPending = 8192
@@ -25,9 +21,13 @@
 	// slots busy while clients send their chunks, and their final requests fit
 	// the queue, so that an upload that was let in is not refused at its end.
 	maxUploads = model.DefaultQueueLimit
-	// unavailable is the queue length reported for an upstream that must not
+	// Unavailable is the queue length reported for an upstream that must not
 	// get new flows, so that any other candidate is better.
-	unavailable = math.MaxUint32
+	Unavailable = math.MaxUint32
+	// Ejected is the queue length reported for an upstream that looks ill. It
+	// gets new flows only when all other candidates are as bad, because its
+	// health endpoint may mislead.
+	Ejected = Unavailable - 1
 )
 
 // Open asks for a new flow at an upstream that this balancer owns.
@@ -37,8 +37,11 @@
 	if p, ok := st.Pending[it.Key]; ok {
 		return repeat(p, r)
 	}
-	if !st.DrainingSince.IsZero() || st.Unhealthy {
-		return Pass{Queue: unavailable}
+	if st.Health.Draining() {
+		return Pass{Queue: Unavailable}
+	}
+	if st.Health.Ejected(now) && !r.Forced {
+		return Pass{Queue: Ejected}
 	}
 	if len(st.Pending) >= maxPending {
 		return Reject{Reason: packet.ReasonOverload, RetryAfter: time.Second}
@@ -86,7 +89,7 @@
 		add(st, it, &table.Pending{Relay: clone(r), State: table.PendingForwarded, Sent: now})
 		return Forward{Relay: r}
 	}
-	if it.Class.Kind == model.KindRequest && drained(st, now) {
+	if it.Class.Kind == model.KindRequest && st.Health.RefusesRequests(now) {
 		return Reject{Reason: packet.ReasonDraining}
 	}
 	if len(st.Pending) >= maxPending {
@@ -95,10 +98,6 @@
 	return offer(now, st, r, it, rnd)
 }
 
-func drained(st *table.Upstream, now time.Time) bool {
-	return !st.DrainingSince.IsZero() && now.Sub(st.DrainingSince) >= DrainGrace
-}
-
 // repeat handles another copy of work that is already pending. A forwarded
 // packet is forwarded again, because the first copy or its answer may be lost;
 // the upstream runs it once.
--- a/core/cmds/finish.go
+++ b/core/cmds/finish.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"egretdock/core/admit"
+	"egretdock/core/health"
 	"egretdock/core/input"
 	"egretdock/core/locks"
 	"egretdock/core/packet"
@@ -12,9 +13,10 @@
 
 // Accepted records that the upstream accepted a flow. The grant stays until
 // the first request or until it lapses; a feed needs none.
-func Accepted(h *locks.Holder, st *table.Upstream, flow uint64) {
+func Accepted(h *locks.Holder, now time.Time, st *table.Upstream, flow, incarnation uint64) {
 	st.Lock(h)
 	defer st.Unlock(h)
+	observe(st, now, health.Accepted{Incarnation: incarnation})
 	k := admit.Key{Flow: flow}
 	p, ok := st.Pending[k]
 	if !ok {
@@ -29,9 +31,10 @@
 
 // Answered records that the upstream ran a request and returns the queued work
 // that is forwarded now.
-func Answered(h *locks.Holder, now time.Time, st *table.Upstream, k admit.Key) []input.Relay {
+func Answered(h *locks.Holder, now time.Time, st *table.Upstream, k admit.Key, incarnation uint64) []input.Relay {
 	st.Lock(h)
 	defer st.Unlock(h)
+	observe(st, now, health.Answered{Incarnation: incarnation})
 	p, ok := st.Pending[k]
 	if !ok || p.State == table.PendingQueued {
 		return nil
@@ -72,11 +75,11 @@
 // Refused records that the upstream refused work. It returns the refused entry
 // when this balancer had forwarded it, and the queued work that is forwarded
 // now.
-func Refused(h *locks.Holder, now time.Time, st *table.Upstream, k admit.Key, reason packet.Reason) (*table.Pending, []input.Relay) {
+func Refused(h *locks.Holder, now time.Time, st *table.Upstream, k admit.Key, reason packet.Reason, incarnation uint64) (*table.Pending, []input.Relay) {
 	st.Lock(h)
 	defer st.Unlock(h)
-	if reason == packet.ReasonDraining {
-		drain(st, now)
+	if reason == packet.ReasonDraining || reason == packet.ReasonShed {
+		observe(st, now, health.Refused{Incarnation: incarnation, Draining: reason == packet.ReasonDraining})
 	}
 	p, ok := st.Pending[k]
 	if !ok {
@@ -142,8 +145,13 @@
 			out.Dropped = append(out.Dropped, Dropped{Relay: p.Relay, Reason: d.Reason, RetryAfter: d.RetryAfter})
 		}
 	}
+	for _, it := range st.Admit.Lapse(now) {
+		silent(now, st, it.Key, true)
+		st.Drop(it.Key)
+	}
 	for k, p := range st.Pending {
-		if p.State != table.PendingQueued && lapsed(now, p) {
+		if p.State != table.PendingQueued && now.After(p.Expires) {
+			silent(now, st, k, k.Request == 0)
 			giveUp(now, st, k, p)
 		}
 	}
@@ -154,15 +162,11 @@
 	return out
 }
 
-// GrantLifetime is how long an accepted flow holds capacity for its first
-// request. It covers several client round trips of 6 ms with retransmissions.
-const GrantLifetime = 500 * time.Millisecond
-
-func lapsed(now time.Time, p *table.Pending) bool {
-	if p.State == table.PendingAccepted && !p.Slotless && now.Sub(p.Sent) > GrantLifetime {
-		return true
+// silent records that the upstream did not answer a forwarded packet.
+func silent(now time.Time, st *table.Upstream, k admit.Key, opening bool) {
+	if p, ok := st.Pending[k]; ok && p.State == table.PendingForwarded {
+		observe(st, now, health.Failed{Incarnation: st.Health.Incarnation(), Opening: opening})
 	}
-	return now.After(p.Expires)
 }
 
 // release grants queued work while there is capacity.
@@ -182,9 +186,3 @@
 		out = append(out, p.Relay)
 	}
 }
-
-func drain(st *table.Upstream, now time.Time) {
-	if st.DrainingSince.IsZero() {
-		st.DrainingSince = now
-	}
-}
--- /dev/null
+++ b/core/cmds/limits.go
@@ -0,0 +1,70 @@
+package cmds
+
+import (
+	"time"
+
+	"egretdock/core/limit"
+	"egretdock/core/locks"
+	"egretdock/core/model"
+	"egretdock/core/table"
+)
+
+// UseOpening takes one opening from this balancer's part of the customer's
+// rate. It reports the time to wait, and false, when there is none left.
+func UseOpening(h *locks.Holder, now time.Time, s *table.Set, b *table.Binding) (time.Duration, bool) {
+	if b.Params.Limits == (model.Limits{}) {
+		return 0, true
+	}
+	var wait time.Duration
+	balancers := s.Members().Len()
+	s.Limits.UpdateCustomer(h, b.ID, func(c limit.Customer) limit.Customer {
+		c = c.WithLimits(now, rates(b.Params.Limits), balancers)
+		if wait = c.OpenAfter(now); wait > 0 {
+			return c
+		}
+		return c.WithOpen(now)
+	})
+	return wait, wait == 0
+}
+
+// UseBytes takes the payload of a packet from this balancer's part of the
+// customer's rate, and reports whether there was enough.
+func UseBytes(h *locks.Holder, now time.Time, s *table.Set, b *table.Binding, n int) bool {
+	if b.Params.Limits.BytesPerSecond <= 0 || n == 0 {
+		return true
+	}
+	var ok bool
+	balancers := s.Members().Len()
+	s.Limits.UpdateCustomer(h, b.ID, func(c limit.Customer) limit.Customer {
+		c = c.WithLimits(now, rates(b.Params.Limits), balancers)
+		if ok = c.AllowsBytes(now, n); ok {
+			c = c.WithBytes(now, n)
+		}
+		return c
+	})
+	return ok
+}
+
+// rates leaves out the number of open flows: the balancer that sees a flow
+// open is seldom the one that sees it close.
+func rates(l model.Limits) model.Limits {
+	l.OpenFlows = 0
+	return l
+}
+
+// Earn credits the retry budget of a service with a success.
+func Earn(h *locks.Holder, now time.Time, s *table.Set, service string) {
+	s.Limits.UpdateBudget(h, service, func(b limit.Budget) limit.Budget { return b.WithSuccess(now) })
+}
+
+// Spend pays for one retry and reports whether the budget allowed it.
+func Spend(h *locks.Holder, now time.Time, s *table.Set, service string) bool {
+	var ok bool
+	s.Limits.UpdateBudget(h, service, func(b limit.Budget) limit.Budget {
+		if ok = b.Allows(now); ok {
+			b = b.WithRetry(now)
+		}
+		return b
+	})
+	return ok
+}
--- a/core/cmds/observe.go
+++ b/core/cmds/observe.go
@@ -4,55 +4,35 @@
 	"time"
 
 	"egretdock/core/admit"
-	"egretdock/core/input"
+	"egretdock/core/health"
 	"egretdock/core/locks"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/table"
 )
 
-// Incarnation records the incarnation that an upstream reports. A newer one
-// starts from nothing; an older one is reported as false and must be ignored.
-func Incarnation(h *locks.Holder, st *table.Upstream, n uint64) bool {
+// Observe records what a report or passing traffic shows of an upstream. It
+// returns whether the upstream is a new incarnation, which starts from nothing.
+func Observe(h *locks.Holder, now time.Time, st *table.Upstream, sig health.Signal) bool {
 	st.Lock(h)
 	defer st.Unlock(h)
-	return newer(st, n)
+	return observe(st, now, sig)
 }
 
-func newer(st *table.Upstream, n uint64) bool {
-	if n < st.Incarnation {
-		return false
+func observe(st *table.Upstream, now time.Time, sig health.Signal) bool {
+	before := st.Health.Incarnation()
+	st.Health = st.Health.With(now, sig)
+	if n := st.Health.Slots(); n > 0 {
+		st.Admit.SetSlots(n)
 	}
-	if n > st.Incarnation {
-		if st.Incarnation != 0 {
-			st.Admit = admit.Upstream{}
-			st.Pending, st.Uploads = nil, 0
-			st.DrainingSince = time.Time{}
-			st.Unhealthy = false
-		}
-		st.Incarnation = n
+	if before == 0 || st.Health.Incarnation() == before {
+		return false
 	}
+	st.Admit = admit.NewUpstream(now)
+	st.Pending, st.Uploads = nil, 0
 	return true
 }
 
-// Report records the answer of a health and load endpoint.
-func Report(h *locks.Holder, now time.Time, st *table.Upstream, r *input.LoadReport) {
-	st.Lock(h)
-	defer st.Unlock(h)
-	if !r.Healthy {
-		st.Unhealthy = true
-		return
-	}
-	if !newer(st, r.Incarnation) {
-		return
-	}
-	st.Unhealthy = false
-	st.Admit.SetSlots(r.Slots)
-	if r.Draining {
-		drain(st, now)
-	}
-}
-
 // Configure puts a configuration in force. It reports false for a revision
 // that is not newer than the one in force.
 func Configure(h *locks.Holder, s *table.Set, cfg model.Config) bool {
--- a/core/engine/client.go
+++ b/core/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretdock/core/cmds"
 	"egretdock/core/effect"
 	"egretdock/core/input"
 	"egretdock/core/model"
@@ -43,6 +44,10 @@
 }
 
 func (e *Engine) openFromClient(w *Work, now time.Time, b *table.Binding, p *packet.Packet, o *packet.Open) {
+	if wait, ok := cmds.UseOpening(&w.locks, now, &e.Tables, b); !ok {
+		refuse(w, *p, o, packet.ReasonLimit, wait)
+		return
+	}
 	c := b.Pool.Placement(p.Flow)
 	first := c.At(0)
 	if first == nil {
@@ -52,8 +57,12 @@
 	e.toOwner(w, now, input.Relay{Packet: *p, Target: first.Endpoint})
 }
 
-// onFlow routes a packet of an established flow.
+// onFlow routes a packet of an established flow. A payload beyond the
+// customer's rate is dropped, and the client sends it again later.
 func (e *Engine) onFlow(w *Work, now time.Time, v *table.View, b *table.Binding, kind model.ClassKind, p *packet.Packet) {
+	if !cmds.UseBytes(&w.locks, now, &e.Tables, b, payloadLen(p.Body)) {
+		return
+	}
 	r, how := query.Route(&e.Tables, v, &w.locks, now, b, p)
 	switch how {
 	case query.LookupRouted:
@@ -78,6 +87,17 @@
 	w.Out.ToUpstream(p.Route.Endpoint, *p)
 }
 
+func payloadLen(b packet.Body) int {
+	switch b := b.(type) {
+	case *packet.Request:
+		return len(b.Payload)
+	case *packet.Data:
+		return len(b.Payload)
+	default:
+		return 0
+	}
+}
+
 // admitted reports whether a packet of an established flow is subject to
 // admission.
 func admitted(b packet.Body) bool {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"egretdock/core/cmds"
 	"egretdock/core/effect"
+	"egretdock/core/health"
 	"egretdock/core/input"
 	"egretdock/core/locks"
 	"egretdock/core/member"
@@ -21,6 +22,8 @@
 type Engine struct {
 	// Self is set before first use and never changed.
 	Self model.Balancer
+	// Members is the timing of failure detection; zero fields take defaults.
+	Members member.Config
 	// Tables is the shared state; the zero value is a balancer that knows
 	// nothing.
 	Tables table.Set
@@ -53,34 +56,43 @@
 	case *input.FromPeer:
 		e.fromPeer(w, now, in.Relay)
 	case *input.Gossip:
+		e.gossip(w, now, in.Message)
 	case *input.Configured:
-		e.configure(w, in.Config)
+		e.configure(w, now, in.Config)
 	case *input.Hosts:
-		e.setHosts(w, in.Balancers)
+		e.updateMembers(w, now, func(s *member.State) []member.Send {
+			s.SetHosts(now, in.Balancers)
+			return nil
+		})
 	case *input.LoadReport:
 		e.report(w, now, in)
 	case *input.Tick:
 		e.tick(w, now)
 	case *input.Leave:
-		e.Tables.Leaving.Store(true)
+		e.leave(w, now)
 	}
 }
 
-func (e *Engine) configure(w *Work, cfg model.Config) {
-	if cmds.Configure(&w.locks, &e.Tables, cfg) {
-		e.claim(w)
-		w.Out.Add(&effect.Event{Name: "config_in_force", Revision: cfg.Revision})
+func (e *Engine) configure(w *Work, now time.Time, cfg model.Config) {
+	if !cmds.Configure(&w.locks, &e.Tables, cfg) {
+		return
 	}
-}
-
-func (e *Engine) setHosts(w *Work, bs []model.Balancer) {
-	e.Tables.UpdateMembers(&w.locks, func() member.View { return member.NewView(bs).With(e.Self) })
+	e.updateMembers(w, now, func(s *member.State) []member.Send {
+		s.SetRevision(cfg.Revision)
+		return nil
+	})
 	e.claim(w)
+	w.Out.Add(&effect.Event{Name: "config_in_force", Revision: cfg.Revision})
 }
 
 func (e *Engine) report(w *Work, now time.Time, r *input.LoadReport) {
-	if pl, ok := e.Tables.View().Place(r.Endpoint); ok {
-		cmds.Report(&w.locks, now, pl.State, r)
+	pl, ok := e.Tables.View().Place(r.Endpoint)
+	if !ok {
+		return
+	}
+	sig := health.Report{Incarnation: r.Incarnation, Healthy: r.Healthy, Draining: r.Draining, Slots: r.Slots}
+	if cmds.Observe(&w.locks, now, pl.State, sig) {
+		w.Out.Add(&effect.Event{Name: "upstream_restarted", Upstream: pl.Upstream.Name})
 	}
 }
 
--- a/core/engine/fault_test.go
+++ b/core/engine/fault_test.go
@@ -1,15 +1,53 @@
 package engine_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"egretdock/core/engine"
+	"egretdock/core/input"
+	"egretdock/core/model"
 	"egretdock/core/packet"
 )
 
-// kill stops a balancer; the others learn of it when hosts is called.
-func (m *memory) kill(i int) { m.balancers[i].dead = true }
+// kill stops a balancer and waits until the others have noticed.
+func (m *memory) kill(i int) {
+	m.t.Helper()
+	m.balancers[i].dead = true
+	m.converge()
+}
+
+// isolate cuts a balancer off from all others until they have removed it.
+func (m *memory) isolate(i int) {
+	m.t.Helper()
+	self := m.balancers[i].Self.Peer
+	m.cut = func(from, to netip.AddrPort) bool { return from == self || to == self }
+	for range 60 {
+		m.pass(time.Second)
+		if m.balancers[m.other(i)].Tables.Members().Len() < len(m.balancers) {
+			return
+		}
+	}
+	m.t.Fatal("the others still see the isolated balancer after 60 s")
+}
+
+// addBalancer starts a further balancer and waits until all see it.
+func (m *memory) addBalancer(dataCentre string) {
+	m.t.Helper()
+	cfg := m.config()
+	i := len(m.balancers)
+	b := &memBalancer{work: engine.NewWork(uint64(i))}
+	b.Self = model.Balancer{
+		Name: fmt.Sprintf("b%02d", i), DataCentre: dataCentre, Incarnation: 1,
+		Peer: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(9000+i)),
+	}
+	m.balancers = append(m.balancers, b)
+	m.hosts()
+	m.give(b, &input.Configured{Config: cfg})
+	m.converge()
+}
 
 // ownerOf returns the index of the balancer that owns the flow's upstream.
 func (f *memFlow) ownerOf() int {
@@ -44,7 +82,6 @@
 		at := m.other(owner)
 		f.send(at, &packet.Request{ID: 1, Attempt: 1})
 		m.kill(owner)
-		m.hosts()
 		f.send(at, &packet.Request{ID: 1, Attempt: 2})
 		for _, r := range f.upstream().running {
 			r.b = m.balancers[at]
@@ -55,12 +92,7 @@
 		m := newMemory(t, 4, 4)
 		f := m.flow(orderAddr).mustOpen(0)
 		owner := f.ownerOf()
-		m.cut = func(from, to netip.AddrPort) bool {
-			return from == m.balancers[owner].Self.Peer || to == m.balancers[owner].Self.Peer
-		}
-		m.balancers[owner].dead = true
-		m.hosts()
-		m.balancers[owner].dead = false
+		m.isolate(owner)
 		f.send(owner, &packet.Request{ID: 1, Attempt: 1})
 		f.send(m.other(owner), &packet.Request{ID: 1, Attempt: 2})
 		wantRuns(t, m, f, 1, 1)
@@ -99,15 +131,7 @@
 		f.send(0, &packet.Open{Attempt: 1, Timeout: 400 * time.Millisecond})
 		flows = append(flows, f)
 	}
-	// Both balancers leave ownership to a third one that is not there.
-	ghost := &memBalancer{work: m.balancers[0].work, dead: true}
-	ghost.Self = m.balancers[0].Self
-	ghost.Self.Name, ghost.Self.Peer = "b99", netip.MustParseAddrPort("10.0.0.1:9099")
-	m.balancers[0].Self.DataCentre, m.balancers[1].Self.DataCentre = "dc1", "dc1"
-	ghost.dead = false
-	m.balancers = append(m.balancers, ghost)
-	m.hosts()
-	ghost.dead = true
+	m.addBalancer("dc0")
 	m.pass(time.Second)
 	for i, f := range flows {
 		if f.last() == nil {
@@ -120,17 +144,30 @@
 // of the members.
 func TestRelaysEnd(t *testing.T) {
 	m := newMemory(t, 2, 1)
-	for i, b := range m.balancers {
-		b.dead = true
-		m.hosts() // the other balancer now believes that it is alone
-		b.dead = false
-		m.balancers[1-i].dead = false
-	}
+	b := m.balancers[0]
 	f := m.flow(orderAddr)
-	f.send(0, &packet.Open{Attempt: 1})
-	if f.last() == nil {
-		t.Error("opening got no reply")
+	r := input.Relay{
+		Packet: packet.Packet{Header: packet.Header{Flow: f.id, Address: orderAddr}, Body: &packet.Open{Attempt: 1}},
+		Target: upstreamNamed(m, "u000").Endpoint, Hops: input.MaxHops,
+	}
+	owner, _ := b.Tables.Members().Owner(upstreamNamed(m, "u000").Upstream)
+	if owner.Name == b.Self.Name {
+		b = m.balancers[1]
+	}
+	m.give(b, &input.FromPeer{Relay: r})
+	m.settle()
+	wantBody[*packet.Accept](t, f)
+}
+
+func upstreamNamed(m *memory, name string) *memUpstream {
+	m.t.Helper()
+	for _, u := range m.upstreams {
+		if u.Name == name {
+			return u
+		}
 	}
+	m.t.Fatalf("no upstream %s", name)
+	return nil
 }
 
 // Guards against a flow without a token that is lost when its upstream left
--- a/core/engine/memory_test.go
+++ b/core/engine/memory_test.go
@@ -94,9 +94,32 @@
 	cfg = cfg.WithParams(m.params("north", "order_desk", orderAddr.Addr(), 0, upstreams))
 	cfg = cfg.WithParams(m.params("south", "plan_intake", otherAddr.Addr(), 100, 100+upstreams))
 	m.configure(cfg.WithRevision(1))
+	m.converge()
 	return m
 }
 
+// converge waits until all live balancers see each other and nobody else.
+func (m *memory) converge() {
+	m.t.Helper()
+	live := 0
+	for _, b := range m.balancers {
+		if !b.dead {
+			live++
+		}
+	}
+	for range 60 {
+		done := true
+		for _, b := range m.balancers {
+			done = done && (b.dead || b.Tables.Members().Len() == live && b.Tables.Settled())
+		}
+		if done {
+			return
+		}
+		m.pass(time.Second)
+	}
+	m.t.Fatalf("%d balancers do not agree on the members after 60 s", live)
+}
+
 func deskTemplate(name string) model.Template {
 	return model.Template{Name: name}.
 		WithClass(model.Class{Name: "orders", Port: 7001, Kind: model.KindRequest, Priority: 3}).
@@ -164,11 +187,16 @@
 		to, r := e.To, e.Relay
 		r.Packet = r.Packet.Clone()
 		if m.cut == nil || !m.cut(b.Self.Peer, to) {
-			m.later(func() { m.peerGets(to, r) })
+			m.later(func() { m.toPeer(to, &input.FromPeer{Relay: r}) })
 		}
 	case *effect.Event:
 		m.events = append(m.events, *e)
-	case *effect.Gossip, *effect.Poll, *effect.Fetch:
+	case *effect.Gossip:
+		to, msg := e.To, e.Message
+		if m.cut == nil || !m.cut(b.Self.Peer, to) {
+			m.later(func() { m.toPeer(to, &input.Gossip{Message: msg}) })
+		}
+	case *effect.Poll, *effect.Fetch:
 	}
 }
 
@@ -183,10 +211,10 @@
 	}
 }
 
-func (m *memory) peerGets(to netip.AddrPort, r input.Relay) {
+func (m *memory) toPeer(to netip.AddrPort, in input.Input) {
 	for _, b := range m.balancers {
 		if b.Self.Peer == to {
-			m.give(b, &input.FromPeer{Relay: r})
+			m.give(b, in)
 		}
 	}
 }
--- a/core/engine/owner.go
+++ b/core/engine/owner.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"math"
 	"time"
 
 	"egretdock/core/admit"
@@ -11,6 +10,7 @@
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/query"
+	"egretdock/core/slots"
 	"egretdock/core/table"
 )
 
@@ -27,7 +27,7 @@
 		e.missing(w, now, r)
 		return
 	}
-	owner, ok := e.Tables.Members().Owner(pl.Upstream)
+	owner, ok := query.Owner(&e.Tables, pl.Upstream, e.Self.Name)
 	if ok && owner.Name != e.Self.Name && r.Hops < input.MaxHops {
 		r.Hops++
 		w.Out.Add(&effect.ToPeer{To: owner.Peer, Relay: r})
@@ -41,7 +41,7 @@
 // the sender's revision, or the endpoint left its service.
 func (e *Engine) missing(w *Work, now time.Time, r input.Relay) {
 	if o, ok := r.Packet.Body.(*packet.Open); ok {
-		e.pass(w, now, r, o, unavailable)
+		e.pass(w, now, r, o, cmds.Unavailable)
 		return
 	}
 	w.Out.Add(&effect.Event{Name: "packet_dropped", Flow: r.Packet.Flow, Upstream: r.Target.String(), Detail: "endpoint unknown at this revision"})
@@ -112,9 +112,6 @@
 	}
 }
 
-// unavailable is the queue length of a candidate that must not be used.
-const unavailable = math.MaxUint32
-
 // pass hands an opening to the next candidate. After the last one it goes back
 // to the candidate with the shortest queue, which queues or refuses it.
 func (e *Engine) pass(w *Work, now time.Time, r input.Relay, o *packet.Open, queue uint32) {
@@ -129,10 +126,11 @@
 	r.Tried++
 	c := b.Pool.Placement(r.Packet.Flow)
 	next := c.At(int(r.Tried))
+	slotDone := r.Tried >= slots.Width && r.BestQueue < cmds.Ejected
 	switch {
-	case next != nil:
+	case next != nil && !slotDone:
 		r.Target = next.Endpoint
-	case r.BestQueue != unavailable:
+	case r.BestQueue != cmds.Unavailable:
 		r.Target, r.Forced = r.Best, true
 	default:
 		refuse(w, r.Packet, o, packet.ReasonNoUpstream, time.Second)
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -7,11 +7,12 @@
 	"egretdock/core/effect"
 	"egretdock/core/member"
 	"egretdock/core/packet"
-	"egretdock/core/query"
 	"egretdock/core/table"
 )
 
 func (e *Engine) tick(w *Work, now time.Time) {
+	e.Tables.Ticked.Store(now.UnixNano())
+	e.updateMembers(w, now, func(s *member.State) []member.Send { return s.Tick(now, w.Rand) })
 	e.Tables.Probes.Expire(&w.locks, now)
 	o := e.Tables.Ownership()
 	for _, pl := range o.Mine {
@@ -38,14 +39,6 @@
 	return s.Poll
 }
 
-// claim works out which upstreams this balancer owns after a change of the
-// configuration or the members.
-func (e *Engine) claim(w *Work) {
-	e.Tables.UpdateOwnership(&w.locks, func(v *table.View, m member.View) *table.Ownership {
-		return query.Split(v, m, e.Self.Name)
-	})
-}
-
 // drop refuses queued work. An opening is refused outright; a request only
 // through the upstream.
 func (e *Engine) drop(w *Work, d cmds.Dropped) {
--- a/core/engine/upstream.go
+++ b/core/engine/upstream.go
@@ -53,14 +53,12 @@
 	key := admit.Key{Flow: p.Flow}
 	switch body := p.Body.(type) {
 	case *packet.Accept:
-		if !cmds.Incarnation(&w.locks, pl.State, p.Route.Incarnation) {
-			return
-		}
-		cmds.Accepted(&w.locks, pl.State, p.Flow)
+		cmds.Accepted(&w.locks, now, pl.State, p.Flow, p.Route.Incarnation)
+		cmds.Earn(&w.locks, now, &e.Tables, pl.Service)
 		w.Out.ToClient(*p)
 	case *packet.Answer:
 		key.Request = body.ID
-		e.forwardAll(w, cmds.Answered(&w.locks, now, pl.State, key))
+		e.forwardAll(w, cmds.Answered(&w.locks, now, pl.State, key, p.Route.Incarnation))
 		w.Out.ToClient(*p)
 	case *packet.Refuse:
 		key.Request = body.ID
@@ -78,7 +76,7 @@
 // refusedBy handles a refusal. An opening ran nothing and is tried at the next
 // candidate; a request stays with its flow, so its refusal goes to the client.
 func (e *Engine) refusedBy(w *Work, now time.Time, pl *table.Place, p *packet.Packet, body *packet.Refuse, key admit.Key) {
-	pending, freed := cmds.Refused(&w.locks, now, pl.State, key, body.Reason)
+	pending, freed := cmds.Refused(&w.locks, now, pl.State, key, body.Reason, p.Route.Incarnation)
 	e.forwardAll(w, freed)
 	if key.Request != 0 {
 		w.Out.ToClient(*p)
@@ -87,15 +85,22 @@
 	if pending == nil {
 		return
 	}
-	if o, ok := pending.Relay.Packet.Body.(*packet.Open); ok {
-		e.pass(w, now, pending.Relay, o, unavailable)
+	o, ok := pending.Relay.Packet.Body.(*packet.Open)
+	if !ok {
+		return
+	}
+	// A drain ends by itself and is not an overload, so it needs no budget.
+	if body.Reason != packet.ReasonDraining && !cmds.Spend(&w.locks, now, &e.Tables, pl.Service) {
+		refuse(w, pending.Relay.Packet, o, body.Reason, body.RetryAfter)
+		return
 	}
+	e.pass(w, now, pending.Relay, o, cmds.Unavailable)
 }
 
 // resetBy handles the word of an upstream that it does not hold a flow. A
 // request whose route was not known is tried at the next candidate.
 func (e *Engine) resetBy(w *Work, now time.Time, pl *table.Place, b *table.Binding, p *packet.Packet, key admit.Key) {
-	pending, freed := cmds.Refused(&w.locks, now, pl.State, key, packet.ReasonUnknownFlow)
+	pending, freed := cmds.Refused(&w.locks, now, pl.State, key, packet.ReasonUnknownFlow, p.Route.Incarnation)
 	e.forwardAll(w, freed)
 	if pending != nil && key.Request != 0 && pending.Relay.Packet.Route.IsZero() {
 		e.search(w, now, b, pending.Relay.Packet, int(pending.Relay.Tried)+1)
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -51,9 +51,9 @@
 }
 
 // MaxHops is the number of times that a packet is relayed at most. It allows
-// three placement candidates, the return to the best of them, and two
+// five placement candidates, the return to the best of them, and two
 // redirections by balancers with another view of the members.
-const MaxHops = 6
+const MaxHops = 8
 
 // Gossip is a membership message from another balancer.
 type Gossip struct {
--- a/core/member/query.go
+++ b/core/member/query.go
@@ -83,3 +83,22 @@
 	}
 	return best.balancer, best.revision, best.heard
 }
+
+// Sender returns the balancer that a message speaks for and its configuration
+// revision.
+func Sender(m Message) (model.Balancer, uint64) {
+	var h Head
+	switch m := m.(type) {
+	case *Ping:
+		h = m.Head
+	case *Ack:
+		h = m.Head
+	case *PingRequest:
+		h = m.Head
+	case *Pull:
+		h = m.Head
+	case *Page:
+		h = m.Head
+	}
+	return h.From, h.Revision
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -33,6 +33,11 @@
 // modify the slice.
 func (v View) Balancers() []model.Balancer { return v.balancers }
 
+// Equal reports whether two views hold the same balancers.
+func (v View) Equal(o View) bool {
+	return slices.Equal(v.balancers, o.balancers) && slices.Equal(v.leaving, o.leaving)
+}
+
 // Len returns the number of live balancers.
 func (v View) Len() int { return len(v.balancers) }
 
--- /dev/null
+++ b/core/query/member.go
@@ -0,0 +1,48 @@
+package query
+
+import (
+	"egretdock/core/locks"
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/core/table"
+)
+
+// Owner returns the balancer that must admit work for an upstream. A balancer
+// that is not settled leaves it to the next one in the hash order, if any.
+func Owner(s *table.Set, u model.Upstream, self string) (model.Balancer, bool) {
+	m := s.Members()
+	b, ok := m.Owner(u)
+	if ok && b.Name == self && !s.Settled() && m.Len() > 1 {
+		return m.Without(self).Owner(u)
+	}
+	return b, ok
+}
+
+// Acked returns the configuration revision that each balancer of a data centre
+// has in force, as far as gossip shows.
+func Acked(s *table.Set, dataCentre string) map[string]uint64 {
+	out := make(map[string]uint64)
+	var h locks.Holder
+	s.ReadMembers(&h, func(st *member.State) {
+		for _, a := range st.Revisions(dataCentre) {
+			if a.Live {
+				out[a.Balancer.Name] = a.Revision
+			}
+		}
+	})
+	return out
+}
+
+// Split splits the places of a view by whether the named balancer owns their
+// upstream.
+func Split(v *table.View, members member.View, self string) *table.Ownership {
+	o := &table.Ownership{}
+	for _, p := range v.Places() {
+		if b, ok := members.Owner(p.Upstream); ok && b.Name == self {
+			o.Mine = append(o.Mine, p)
+		} else {
+			o.Others = append(o.Others, p)
+		}
+	}
+	return o
+}
--- a/core/query/route.go
+++ b/core/query/route.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"egretdock/core/locks"
-	"egretdock/core/member"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/table"
@@ -60,17 +59,3 @@
 	}
 	return r, LookupRouted
 }
-
-// Split splits the places of a view by whether the named balancer owns their
-// upstream.
-func Split(v *table.View, members member.View, self string) *table.Ownership {
-	o := &table.Ownership{}
-	for _, p := range v.Places() {
-		if b, ok := members.Owner(p.Upstream); ok && b.Name == self {
-			o.Mine = append(o.Mine, p)
-		} else {
-			o.Others = append(o.Others, p)
-		}
-	}
-	return o
-}
--- a/core/table/pool.go
+++ b/core/table/pool.go
@@ -45,10 +45,17 @@
 
 func (p *Pool) sameAs(us []model.Upstream) bool { return slices.Equal(p.Upstreams, us) }
 
-// Placement returns the candidates for a new flow, best first.
+// spares is the number of candidates beyond those of the slot. They are used
+// only when all of the slot's candidates are out of use; with half of the
+// upstreams gone, that is one flow in eight.
+const spares = 2
+
+// Placement returns the candidates for a new flow, best first: those of its
+// slot, then the spares.
 func (p *Pool) Placement(flow uint64) Candidates {
 	var c Candidates
 	c.add(p, flow)
+	c.addSpares(p, flow)
 	return c
 }
 
@@ -60,6 +67,7 @@
 	for _, o := range p.Older {
 		c.add(o, flow)
 	}
+	c.addSpares(p, flow)
 	return c
 }
 
@@ -93,6 +101,17 @@
 	}
 }
 
+func (c *Candidates) addSpares(p *Pool, flow uint64) {
+	n := uint64(len(p.Upstreams))
+	want := min(c.n+spares, maxCandidates, len(p.Upstreams))
+	for i := uint64(0); i < n && c.n < want; i++ {
+		if u := &p.Upstreams[(flow+i)%n]; !c.has(u) {
+			c.list[c.n] = u
+			c.n++
+		}
+	}
+}
+
 func (c *Candidates) has(u *model.Upstream) bool {
 	for _, have := range c.list[:c.n] {
 		if have.Endpoint == u.Endpoint {
--- a/core/table/set.go
+++ b/core/table/set.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"egretdock/core/locks"
 	"egretdock/core/member"
@@ -16,13 +17,21 @@
 	view   atomic.Pointer[View]
 
 	membersMu locks.Mutex
-	members   atomic.Pointer[member.View]
-	owned     atomic.Pointer[Ownership]
+	// detector is nil until the first UpdateMembers; membersMu protects it.
+	detector *member.State
+	members  atomic.Pointer[member.View]
+	owned    atomic.Pointer[Ownership]
+	// settled is true while this balancer may act as an owner.
+	settled atomic.Bool
 
 	// Flows caches routes of flows without a token.
 	Flows Flows
 	// Probes holds packets of unknown route.
 	Probes Probes
+	// Limits holds the use of customers and services.
+	Limits Limits
+	// Ticked is the time of the last tick in nanoseconds since the Unix epoch.
+	Ticked atomic.Int64
 	// Leaving is set once the balancer has been asked to stop.
 	Leaving atomic.Bool
 }
@@ -78,10 +87,34 @@
 	s.owned.Store(fn(s.View(), s.Members()))
 }
 
-// UpdateMembers runs fn under the members lock and publishes its result.
-func (s *Set) UpdateMembers(h *locks.Holder, fn func() member.View) {
+// UpdateMembers runs fn on the failure detector under the members lock and
+// publishes the resulting view. It reports whether the view changed. start
+// makes the detector on first use.
+func (s *Set) UpdateMembers(h *locks.Holder, now time.Time, start func() *member.State, fn func(*member.State)) bool {
 	s.membersMu.Lock(h, locks.RankMembers)
 	defer s.membersMu.Unlock(h, locks.RankMembers)
-	v := fn()
+	if s.detector == nil {
+		s.detector = start()
+	}
+	fn(s.detector)
+	s.settled.Store(s.detector.Settled(now))
+	v := s.detector.View()
+	if v.Equal(s.Members()) {
+		return false
+	}
 	s.members.Store(&v)
+	return true
+}
+
+// ReadMembers runs fn on the failure detector, if there is one, under the
+// members lock. fn must not change it.
+func (s *Set) ReadMembers(h *locks.Holder, fn func(*member.State)) {
+	s.membersMu.Lock(h, locks.RankMembers)
+	defer s.membersMu.Unlock(h, locks.RankMembers)
+	if s.detector != nil {
+		fn(s.detector)
+	}
 }
+
+// Settled reports whether this balancer may act as an owner.
+func (s *Set) Settled() bool { return s.settled.Load() }
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretdock/core/admit"
+	"egretdock/core/health"
 	"egretdock/core/input"
 	"egretdock/core/locks"
 	"egretdock/core/packet"
@@ -24,13 +25,8 @@
 	// Pending holds the work that this balancer has queued or forwarded. An
 	// entry is queued exactly when Admit holds it in its queue.
 	Pending map[admit.Key]*Pending
-	// Incarnation is the newest incarnation seen; 0 before the first packet.
-	Incarnation uint64
-	// DrainingSince is when the upstream was first seen draining in this
-	// incarnation; zero when it is not.
-	DrainingSince time.Time
-	// Unhealthy is true after reports or traffic have shown a failure.
-	Unhealthy bool
+	// Health is what is known of the upstream, its incarnation included.
+	Health health.State
 	// NextPoll is when the health endpoint is asked again.
 	NextPoll time.Time
 	// Uploads counts the entries of Pending with Upload set.
--- /dev/null
+++ b/io/daemon/app.go
@@ -0,0 +1,250 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"egretdock/core/effect"
+	"egretdock/core/fault"
+	"egretdock/core/input"
+	"egretdock/core/model"
+	"egretdock/io/admin"
+	"egretdock/io/config"
+	"egretdock/io/logs"
+	"egretdock/io/peers"
+	"egretdock/io/relay"
+	"egretdock/io/store"
+)
+
+const (
+	// leaveLimit bounds the time of a graceful exit. It is longer than any
+	// request deadline, so that no request in progress is cut.
+	leaveLimit = 30 * time.Second
+	// hostsEvery is the interval at which a balancer reads the host list. At
+	// 1,000 balancers that is 3.3 calls a second; gossip brings news earlier.
+	hostsEvery = 5 * time.Minute
+	// hostsRetry is the interval while the platform does not answer.
+	hostsRetry = 5 * time.Second
+)
+
+// App is a balancer process: a Daemon with the servers and loops around it,
+// run by kratos.
+type App struct {
+	settings config.Settings
+	daemon   *Daemon
+	keeper   *relay.Keeper
+	relay    *relay.Relay
+	log      *store.Log
+	logger   *logs.Logger
+	fetch    net.Listener
+	kratos   *kratos.App
+	inputs   chan input.Input
+	// stopped is closed when the daemon takes no more inputs.
+	stopped chan struct{}
+}
+
+// NewApp binds all sockets of a balancer.
+func NewApp(ctx context.Context, s config.Settings) (*App, error) {
+	a := &App{settings: s, inputs: make(chan input.Input), stopped: make(chan struct{})}
+	a.logger = logs.NewLogger(logs.Options{Process: s.Name, DataCentre: s.DataCentre})
+	var err error
+	if a.fetch, err = net.Listen("tcp", s.FetchListen.String()); err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "cannot listen on fetch_listen", "choose a free address of this host")
+	}
+	registry := metrics.NewRegistry()
+	a.daemon, err = New(Config{
+		Self: model.Balancer{
+			Name: s.Name, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
+			Fetch: a.fetch.Addr().(*net.TCPAddr).AddrPort(),
+		},
+		Clients: s.ClientListen[0], Upstreams: s.UpstreamListen, Peers: s.PeerListen,
+		Key: s.FleetKey.Bytes(), Workers: s.Workers, Flows: s.Tables.Flows,
+		Events:  func(e *effect.Event) { a.logger.Write(*e) },
+		Fetch:   func(b model.Balancer, revision uint64) { a.relay.Seen(b.Fetch, revision) },
+		Metrics: registry,
+	})
+	if err != nil {
+		_ = a.fetch.Close()
+		return nil, err
+	}
+	a.joinPlatform()
+	status, err := admin.NewServer(admin.Options{Address: s.AdminListen, State: a.daemon, Registry: registry, Events: a.logger.Ring()})
+	if err != nil {
+		_ = a.fetch.Close()
+		a.daemon.sockets.Close()
+		return nil, err
+	}
+	a.kratos = kratos.New(
+		kratos.Name(s.Name),
+		kratos.Context(ctx),
+		kratos.Server(status, newFetchServer(a.fetch, a.keeper, s.FleetKey), newLoop(a.daemonLoop), newLoop(a.relayLoop), newLoop(a.hostsLoop)),
+		kratos.StopTimeout(leaveLimit+5*time.Second),
+		kratos.BeforeStop(func(context.Context) error {
+			a.daemon.Leave(leaveLimit)
+			return nil
+		}),
+	)
+	return a, nil
+}
+
+func (a *App) joinPlatform() {
+	s := a.settings
+	a.log = store.NewLog(store.NewClient(store.Options{Bases: s.Platform, Name: s.Name, Seed: uint64(time.Now().UnixNano())}))
+	a.keeper = relay.NewKeeper(a.deliver)
+	seeds := make([]netip.AddrPort, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		seeds = append(seeds, seed.Fetch)
+	}
+	a.relay = relay.New(relay.Options{
+		Self: a.daemon.Self(), Log: a.log, Peers: peers.NewClient(s.FleetKey, time.Now),
+		Fleet: a.daemon, Keeper: a.keeper, Clock: store.WallClock{}, Seeds: seeds,
+		Seed: uint64(time.Now().UnixNano()), Event: a.event,
+	})
+}
+
+// deliver hands a new configuration to the engine. One that would serve a
+// customer on an address of the balancer itself is not put in force.
+func (a *App) deliver(cfg model.Config) {
+	if err := a.settings.CheckServices(cfg); err != nil {
+		a.event("config_refused", "revision", cfg.Revision, "err", err)
+		return
+	}
+	a.push(&input.Configured{Config: cfg})
+}
+
+func (a *App) push(in input.Input) {
+	select {
+	case a.inputs <- in:
+	case <-a.stopped:
+	}
+}
+
+// event logs an event of the loops around the engine.
+func (a *App) event(name string, pairs ...any) {
+	e := effect.Event{Name: name}
+	var detail []string
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if n, ok := pairs[i+1].(uint64); ok && pairs[i] == "revision" {
+			e.Revision = n
+			continue
+		}
+		detail = append(detail, fmt.Sprintf("%v=%v", pairs[i], pairs[i+1]))
+	}
+	e.Detail = strings.Join(detail, " ")
+	a.logger.Write(e)
+}
+
+// Run serves until the context ends or a signal arrives, then leaves.
+func (a *App) Run() error { return a.kratos.Run() }
+
+// ClientAddr returns the address that clients send to.
+func (a *App) ClientAddr() netip.AddrPort { return a.daemon.ClientAddr() }
+
+// Daemon returns the balancer that the process runs.
+func (a *App) Daemon() *Daemon { return a.daemon }
+
+func (a *App) daemonLoop(ctx context.Context) error {
+	defer close(a.stopped)
+	return a.daemon.Run(ctx, a.inputs)
+}
+
+func (a *App) relayLoop(ctx context.Context) error {
+	a.relay.Run(ctx)
+	return nil
+}
+
+// hostsLoop reads the platform's host list now and then.
+func (a *App) hostsLoop(ctx context.Context) error {
+	for {
+		wait := hostsEvery
+		hosts, err := a.log.Hosts(ctx)
+		if err != nil {
+			wait = hostsRetry
+			hosts = a.seedHosts()
+		}
+		a.push(&input.Hosts{Balancers: balancers(hosts)})
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
+		}
+	}
+}
+
+// seedHosts stands for the host list while the platform does not answer.
+func (a *App) seedHosts() []store.Host {
+	out := make([]store.Host, 0, len(a.settings.Seeds))
+	for _, s := range a.settings.Seeds {
+		out = append(out, store.Host{Name: "seed_" + s.Peer.String(), DataCentre: a.settings.DataCentre, Peer: s.Peer, Fetch: s.Fetch})
+	}
+	return out
+}
+
+func balancers(hosts []store.Host) []model.Balancer {
+	out := make([]model.Balancer, 0, len(hosts))
+	for _, h := range hosts {
+		if h.Peer.IsValid() {
+			out = append(out, model.Balancer{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Fetch: h.Fetch})
+		}
+	}
+	return out
+}
+
+// loop runs a function as a kratos server.
+type loop struct {
+	run    func(context.Context) error
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newLoop(run func(context.Context) error) *loop {
+	l := &loop{run: run, done: make(chan struct{})}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// Start implements transport.Server.
+func (l *loop) Start(context.Context) error {
+	defer close(l.done)
+	return l.run(l.ctx)
+}
+
+// Stop implements transport.Server.
+func (l *loop) Stop(context.Context) error {
+	l.cancel()
+	<-l.done
+	return nil
+}
+
+// fetchServer serves the configuration to other balancers.
+type fetchServer struct {
+	http *http.Server
+	lis  net.Listener
+}
+
+func newFetchServer(lis net.Listener, src peers.Source, key config.Key) *fetchServer {
+	mux := http.NewServeMux()
+	mux.Handle(peers.NewHandler(src, key, time.Now))
+	return &fetchServer{lis: lis, http: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
+}
+
+// Start implements transport.Server.
+func (s *fetchServer) Start(context.Context) error {
+	if err := s.http.Serve(s.lis); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Stop implements transport.Server.
+func (s *fetchServer) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- a/io/daemon/bench_test.go
+++ b/io/daemon/bench_test.go
@@ -28,8 +28,8 @@
 
 	entry, datagram := startDaemon(b, upstream)
 	for b.Loop() {
-		bare := rate(b, relay.LocalAddr().(*net.UDPAddr).AddrPort(), datagram)
-		own := rate(b, entry, datagram)
+		bare := roundTrips(b, relay.LocalAddr().(*net.UDPAddr).AddrPort(), datagram)
+		own := roundTrips(b, entry, datagram)
 		b.ReportMetric(own, "daemon_packets/s")
 		b.ReportMetric(bare, "relay_packets/s")
 		b.ReportMetric(own/bare, "ratio")
@@ -41,8 +41,8 @@
 	benchWindow = 64
 )
 
-// rate returns the round trips a second with benchWindow packets in flight.
-func rate(b *testing.B, to netip.AddrPort, datagram []byte) float64 {
+// roundTrips returns the round trips a second with benchWindow packets in flight.
+func roundTrips(b *testing.B, to netip.AddrPort, datagram []byte) float64 {
 	c := listen(b)
 	defer c.Close()
 	var got atomic.Int64
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"egretdock/core/effect"
@@ -15,6 +17,7 @@
 	"egretdock/core/model"
 	"egretdock/core/worker"
 	"egretdock/io/dgram"
+	"egretdock/io/gossip"
 	"egretdock/io/wire"
 )
 
@@ -34,6 +37,13 @@
 	Seed uint64
 	// Events receives the events of the engine; may be nil. It must not block.
 	Events func(*effect.Event)
+	// Fetch is told of a peer with a newer configuration; may be nil. It must
+	// not block.
+	Fetch func(peer model.Balancer, revision uint64)
+	// Flows bounds the flow cache; 0 selects the default.
+	Flows int
+	// Metrics receives the counters of the data path; may be nil.
+	Metrics metrics.Registry
 }
 
 // queueLength bounds the control inputs that wait for the control worker.
@@ -46,6 +56,11 @@
 	sockets dgram.Sockets
 	poller  *poller
 	queue   *worker.Queue
+	// closeQueue ends the queue when Run returns.
+	closeQueue context.CancelFunc
+	sealer     *gossip.Sealer
+	opener     *gossip.Opener
+	stats      *stats
 
 	// Counters count datagrams that were dropped before the engine.
 	Counters dgram.Counters
@@ -58,6 +73,12 @@
 	}
 	d := &Daemon{cfg: cfg}
 	var err error
+	if d.opener, err = gossip.NewOpener(cfg.Key); err != nil {
+		return nil, err
+	}
+	if d.sealer, err = gossip.NewSealer(cfg.Key, rand.Uint64()); err != nil {
+		return nil, err
+	}
 	bind := func(a netip.AddrPort) *dgram.Socket {
 		if err != nil {
 			return nil
@@ -72,8 +93,13 @@
 		return nil, err
 	}
 	d.engine.Self = cfg.Self
+	d.engine.Tables.Flows.Limit = cfg.Flows
 	d.engine.Self.Peer = d.sockets.Peers.Addr()
+	var ctx context.Context
+	ctx, d.closeQueue = context.WithCancel(context.Background())
+	d.queue = worker.NewQueue(ctx, queueLength)
 	d.poller = newPoller()
+	d.stats = newStats(cfg.Metrics, &d.Counters)
 	return d, nil
 }
 
@@ -86,10 +112,10 @@
 // Revision returns the configuration revision in force.
 func (d *Daemon) Revision() uint64 { return d.engine.Tables.View().Config.Revision }
 
-// Run serves until ctx is cancelled. Inputs before Run starts are not allowed.
+// Run serves until ctx is cancelled. It is called once.
 func (d *Daemon) Run(ctx context.Context, inputs <-chan input.Input) error {
 	g, ctx := errgroup.WithContext(ctx)
-	d.queue = worker.NewQueue(ctx, queueLength)
+	context.AfterFunc(ctx, d.closeQueue)
 	pool := worker.Pool{Engine: &d.engine, Now: time.Now, Seed: d.cfg.Seed}
 	g.Go(func() error { return pool.Run(ctx, d.sources(), d.sink) })
 	g.Go(func() error { return d.tick(ctx, inputs) })
@@ -102,7 +128,7 @@
 	return g.Wait()
 }
 
-func (d *Daemon) sealer() *wire.Sealer {
+func (d *Daemon) seal() *wire.Sealer {
 	s, err := wire.NewSealer(d.cfg.Key)
 	if err != nil {
 		panic("daemon: key was checked by New: " + err.Error())
@@ -111,27 +137,33 @@
 }
 
 func (d *Daemon) sources() []worker.Source {
-	out := []worker.Source{d.queue, dgram.NewPeers(d.sockets.Peers, d.sealer(), &d.Counters)}
+	out := []worker.Source{d.queue, dgram.NewPeers(d.sockets.Peers, d.seal(), d.opener, time.Now, &d.Counters)}
 	for range max(1, d.cfg.Workers) {
 		out = append(out,
-			dgram.NewClients(d.sockets.Clients, d.sealer(), &d.Counters),
+			dgram.NewClients(d.sockets.Clients, d.seal(), &d.Counters),
 			dgram.NewUpstreams(d.sockets.Upstreams, &d.Counters))
 	}
 	return out
 }
 
-func (d *Daemon) sink() worker.Sink { return dgram.NewSink(d.sockets, d.sealer(), d.other) }
+func (d *Daemon) sink() worker.Sink {
+	return d.stats.count(dgram.NewSink(d.sockets, dgram.Seals{Wire: d.seal(), Gossip: d.sealer}, &d.Counters, d.other))
+}
 
 // other carries out the effects that are not datagrams.
 func (d *Daemon) other(e effect.Effect) {
 	switch e := e.(type) {
 	case *effect.Event:
-		if d.cfg.Events != nil {
+		if d.cfg.Events != nil && d.stats.reportable(e) {
 			d.cfg.Events(e)
 		}
 	case *effect.Poll:
 		d.poller.ask(e.Upstream)
-	case *effect.Gossip, *effect.Fetch, *effect.ToUpstream, *effect.ToClient, *effect.ToPeer:
+	case *effect.Fetch:
+		if d.cfg.Fetch != nil {
+			d.cfg.Fetch(e.Peer, e.Revision)
+		}
+	case *effect.Gossip, *effect.ToUpstream, *effect.ToClient, *effect.ToPeer:
 	}
 }
 
--- /dev/null
+++ b/io/daemon/state.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretdock/core/input"
+	"egretdock/core/locks"
+	"egretdock/core/member"
+	"egretdock/core/query"
+	"egretdock/core/table"
+	"egretdock/io/admin"
+)
+
+// LastTick implements admin.State.
+func (d *Daemon) LastTick() time.Time { return time.Unix(0, d.engine.Tables.Ticked.Load()) }
+
+// Status implements admin.State.
+func (d *Daemon) Status() admin.Status {
+	t := &d.engine.Tables
+	s := admin.Status{
+		Name:        d.engine.Self.Name,
+		DataCentre:  d.engine.Self.DataCentre,
+		Incarnation: d.engine.Self.Incarnation,
+		Revision:    d.Revision(),
+		Settled:     t.Settled(),
+		Leaving:     t.Leaving.Load(),
+	}
+	var h locks.Holder
+	t.ReadMembers(&h, func(m *member.State) { s.Incarnation = m.Self().Incarnation })
+	for _, b := range t.Members().Balancers() {
+		s.Members = append(s.Members, admin.Member{Name: b.Name, DataCentre: b.DataCentre, Incarnation: b.Incarnation, Status: member.StatusAlive.String()})
+	}
+	for _, b := range t.Members().Leaving() {
+		s.Members = append(s.Members, admin.Member{Name: b.Name, DataCentre: b.DataCentre, Incarnation: b.Incarnation, Status: member.StatusLeaving.String()})
+	}
+	now := time.Now()
+	for _, pl := range t.Ownership().Mine {
+		s.Upstreams = append(s.Upstreams, upstreamStatus(&h, now, pl))
+	}
+	slices.SortFunc(s.Upstreams, func(a, b admin.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+func upstreamStatus(h *locks.Holder, now time.Time, pl *table.Place) admin.Upstream {
+	pl.State.Lock(h)
+	defer pl.State.Unlock(h)
+	load := pl.State.Admit.Load()
+	return admin.Upstream{
+		Name: pl.Upstream.Name, DataCentre: pl.Upstream.DataCentre,
+		Incarnation: pl.State.Health.Incarnation(),
+		Healthy:     !pl.State.Health.Ejected(now),
+		Draining:    pl.State.Health.Draining(),
+		Running:     load.InFlight, Queued: load.Queued, Limit: load.Limit,
+	}
+}
+
+// Acked implements relay.Fleet.
+func (d *Daemon) Acked() map[string]uint64 {
+	return query.Acked(&d.engine.Tables, d.engine.Self.DataCentre)
+}
+
+// Rank implements relay.Fleet: the place of this balancer among those of its
+// data centre in the order of the hashes of their names.
+func (d *Daemon) Rank() int {
+	names := slices.SortedFunc(maps.Keys(d.Acked()), func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
+	})
+	return max(0, slices.Index(names, d.engine.Self.Name))
+}
+
+// leaveCheck is the interval at which a leaving balancer looks whether its
+// work has ended.
+const leaveCheck = 100 * time.Millisecond
+
+// Leave announces that the balancer stops, and waits until no work of its
+// upstreams is pending or limit has passed.
+func (d *Daemon) Leave(limit time.Duration) {
+	d.queue.Push(&input.Leave{})
+	t := time.NewTicker(leaveCheck)
+	defer t.Stop()
+	end := time.Now().Add(limit)
+	// Relays that are on their way arrive within the time that news of the
+	// leave takes to spread.
+	quiet := time.Now().Add(leaveQuiet)
+	for now := range t.C {
+		if now.After(end) || now.After(quiet) && !d.busy() {
+			return
+		}
+	}
+}
+
+// leaveQuiet is the least time between the announcement and the exit. Probes go
+// out twice a second, so that the news reaches a data centre of 70 in about 3 s.
+const leaveQuiet = 3 * time.Second
+
+func (d *Daemon) busy() bool {
+	o := d.engine.Tables.Ownership()
+	for _, list := range [][]*table.Place{o.Mine, o.Others} {
+		for _, pl := range list {
+			if pl.State.Busy() {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/io/dgram/sink.go
+++ b/io/dgram/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"egretdock/core/effect"
+	"egretdock/io/gossip"
 	"egretdock/io/wire"
 )
 
@@ -20,21 +21,31 @@
 	}
 }
 
+// Seals are what a sink needs to make datagrams authentic.
+type Seals struct {
+	// Wire belongs to one worker.
+	Wire *wire.Sealer
+	// Gossip is shared by all workers of a process.
+	Gossip *gossip.Sealer
+}
+
 // Sink sends packet effects as datagrams and hands all others to Other.
 type Sink struct {
 	clients, upstreams, peers *writer
-	sealer                    *wire.Sealer
+	seals                     Seals
+	count                     *Counters
 	other                     func(effect.Effect)
 }
 
 // NewSink returns a sink for one worker. other receives the effects that are
 // not datagrams; they may be kept.
-func NewSink(s Sockets, sealer *wire.Sealer, other func(effect.Effect)) *Sink {
+func NewSink(s Sockets, seals Seals, count *Counters, other func(effect.Effect)) *Sink {
 	return &Sink{
 		clients:   newWriter(s.Clients),
 		upstreams: newWriter(s.Upstreams),
 		peers:     newWriter(s.Peers),
-		sealer:    sealer,
+		seals:     seals,
+		count:     count,
 		other:     other,
 	}
 }
@@ -45,10 +56,15 @@
 	case *effect.ToUpstream:
 		s.upstreams.add(e.To, func(b []byte) []byte { return wire.Append(b, &e.Packet) })
 	case *effect.ToClient:
-		s.clients.add(e.Packet.Client, func(b []byte) []byte { return s.sealer.AppendSealed(b, &e.Packet) })
+		s.clients.add(e.Packet.Client, func(b []byte) []byte { return s.seals.Wire.AppendSealed(b, &e.Packet) })
 	case *effect.ToPeer:
-		s.peers.add(e.To, func(b []byte) []byte { return s.sealer.AppendRelay(append(b, peerRelay), &e.Relay) })
-	case *effect.Gossip, *effect.Poll, *effect.Fetch, *effect.Event:
+		s.peers.add(e.To, func(b []byte) []byte { return s.seals.Wire.AppendRelay(append(b, peerRelay), &e.Relay) })
+	case *effect.Gossip:
+		frame := s.seals.Gossip.Seal(e.Message)
+		s.count.GossipBytes.Add(int64(len(frame) + 1))
+		s.count.GossipMessages.Add(1)
+		s.peers.add(e.To, func(b []byte) []byte { return append(append(b, peerGossip), frame...) })
+	case *effect.Poll, *effect.Fetch, *effect.Event:
 		s.other(e)
 	}
 }
--- a/io/dgram/source.go
+++ b/io/dgram/source.go
@@ -3,9 +3,11 @@
 import (
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"egretdock/core/fault"
 	"egretdock/core/input"
+	"egretdock/io/gossip"
 	"egretdock/io/wire"
 )
 
@@ -15,12 +17,17 @@
 	peerGossip = 'g'
 )
 
-// Counters count datagrams that were not passed to the engine.
+// Counters count what the sockets see beside the engine.
 type Counters struct {
 	// Malformed counts datagrams that could not be decoded.
 	Malformed atomic.Int64
 	// Unauthentic counts forged or damaged tokens and tags.
 	Unauthentic atomic.Int64
+	// GossipBytes counts the payload of membership messages in both
+	// directions; each has a UDP and an IP header besides.
+	GossipBytes atomic.Int64
+	// GossipMessages counts membership messages sent.
+	GossipMessages atomic.Int64
 }
 
 func (c *Counters) count(err error) {
@@ -86,26 +93,41 @@
 	r      *reader
 	d      wire.Decoder
 	sealer *wire.Sealer
+	opener *gossip.Opener
+	now    func() time.Time
 	count  *Counters
-	in     input.FromPeer
+	relay  input.FromPeer
 }
 
-// NewPeers returns a source for one worker.
-func NewPeers(s *Socket, sealer *wire.Sealer, count *Counters) *Peers {
-	return &Peers{r: newReader(s), sealer: sealer, count: count}
+// NewPeers returns a source for one worker. The opener may be shared.
+func NewPeers(s *Socket, sealer *wire.Sealer, opener *gossip.Opener, now func() time.Time, count *Counters) *Peers {
+	return &Peers{r: newReader(s), sealer: sealer, opener: opener, now: now, count: count}
 }
 
 // Read implements worker.Source.
 func (p *Peers) Read(fn func(input.Input)) error {
 	return p.r.read(func(_ netip.AddrPort, b []byte) {
-		if len(b) == 0 || b[0] != peerRelay {
-			p.count.Malformed.Add(1)
-			return
-		}
-		if err := p.d.DecodeRelay(b[1:], p.sealer, &p.in.Relay); err != nil {
+		in, err := p.decode(b)
+		if err != nil {
 			p.count.count(err)
 			return
 		}
-		fn(&p.in)
+		fn(in)
 	})
 }
+
+func (p *Peers) decode(b []byte) (input.Input, error) {
+	if len(b) == 0 {
+		return nil, wire.ErrMalformed
+	}
+	switch b[0] {
+	case peerRelay:
+		return &p.relay, p.d.DecodeRelay(b[1:], p.sealer, &p.relay.Relay)
+	case peerGossip:
+		m, err := p.opener.Open(p.now(), b[1:])
+		p.count.GossipBytes.Add(int64(len(b)))
+		return &input.Gossip{Message: m}, err
+	default:
+		return nil, wire.ErrMalformed
+	}
+}
--- a/io/store/status.go
+++ b/io/store/status.go
@@ -145,3 +145,19 @@
 	return s.DataCentre == o.DataCentre && s.Relay == o.Relay && s.Fencing == o.Fencing &&
 		s.Revision == o.Revision && maps.Equal(s.Acked, o.Acked)
 }
+
+// PutHost writes an entry of the host list, whatever it was before. A real
+// platform maintains the list by itself; stand-ins use this.
+func PutHost(ctx context.Context, objs Objects, h Host) error {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	key := HostPrefix + h.Name
+	var version uint64
+	if old, err := objs.Get(ctx, key); err == nil {
+		version = old.Version
+	}
+	_, err = objs.Put(ctx, key, value, version)
+	return err
+}
--- a/io/subcmd/base.go
+++ b/io/subcmd/base.go
@@ -81,7 +81,7 @@
 	}}
 }
 
-// Register adds the commands that operate the configuration.
+// Register adds all commands.
 func Register(cdr *subcommands.Commander, e Env) {
 	for _, c := range []subcommands.Command{
 		&check{base: base{Env: e}}, &diff{base: base{Env: e}}, &apply{base: base{Env: e}},
@@ -89,6 +89,8 @@
 	} {
 		cdr.Register(c, "configuration")
 	}
+	cdr.Register(&serve{Env: e}, "run")
+	cdr.Register(&Timeline{Out: e.Out, Err: e.Err}, "observe")
 }
 
 // Main runs one command and returns its exit code.
--- /dev/null
+++ b/io/subcmd/serve.go
@@ -0,0 +1,89 @@
+package subcmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"egretdock/core/fault"
+	"egretdock/io/config"
+	"egretdock/io/daemon"
+	"egretdock/io/store"
+)
+
+// serve runs one balancer.
+type serve struct {
+	Env
+	settings string
+	register bool
+}
+
+// Name implements subcommands.Command.
+func (*serve) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serve) Synopsis() string { return "run one balancer" }
+
+// Usage implements subcommands.Command.
+func (*serve) Usage() string {
+	return `serve -settings FILE [-register]:
+  Run one balancer until it gets SIGTERM or SIGINT, then leave gracefully: the
+  balancer announces that it leaves, finishes what is in progress (at most
+  30 s) and exits.
+
+Examples:
+  egretdock serve -settings /etc/egretdock/settings.json
+  egretdock serve -settings settings.json -register   # with the stand-in platform
+` + exitHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (s *serve) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.settings, "settings", "", "settings file, JSON with comments (see docs/settings.md)")
+	f.BoolVar(&s.register, "register", false, "enter the host in the host list, which a real platform does by itself")
+}
+
+// Execute implements subcommands.Command.
+func (s *serve) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s.settings == "" || f.NArg() > 0 {
+		_, _ = fmt.Fprint(s.Err, s.Usage())
+		return subcommands.ExitUsageError
+	}
+	return s.finish(s.Name(), s.run(ctx))
+}
+
+func (s *serve) run(ctx context.Context) error {
+	set, err := config.ReadSettings(s.settings)
+	if err != nil {
+		return err
+	}
+	app, err := daemon.NewApp(ctx, set)
+	if err != nil {
+		return err
+	}
+	if s.register {
+		if err := registerHost(ctx, set, app); err != nil {
+			return err
+		}
+	}
+	return app.Run()
+}
+
+// registerTimeout bounds the entry in the host list.
+const registerTimeout = 10 * time.Second
+
+// registerHost writes the host's entry as a platform would.
+func registerHost(ctx context.Context, set config.Settings, app *daemon.App) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	self := app.Daemon().Self()
+	h := store.Host{Name: self.Name, DataCentre: self.DataCentre, Peer: self.Peer, Fetch: self.Fetch}
+	c := store.NewClient(store.Options{Bases: set.Platform, Name: set.Name})
+	if err := store.PutHost(ctx, c, h); err != nil {
+		return fault.Wrap(err, fault.KindUnavailable, "host list entry not written", "start the stand-in platform first")
+	}
+	return nil
+}
--- a/io/subcmd/timeline.go
+++ b/io/subcmd/timeline.go
@@ -1,4 +1,3 @@
-// Package subcmd holds the commands of egretdock, one in each file.
 package subcmd
 
 import (
