Find flows without a token after many replacements of upstreams

Cause: a property test over random faults (TestInvariantsUnderFaults) found flows without a token that got a reset although their upstream was alive: opened at a spare upstream of an older table, or on an upstream removed more than 16 generations before. The pool now remembers the last 64 removed upstreams and the search ends with all upstreams of the customer; 4 older tables remain, for the order of the search only.

Ruled out: a wrong configuration in the test (the trace shows consecutive revisions at the balancer that sent the reset), a lost connection at the upstream (it held the flow with the right handshake number).

--- a/core/engine/memory_test.go
+++ b/core/engine/memory_test.go
@@ -143,7 +143,16 @@
 	return u
 }
 
-func (m *memory) config() model.Config { return m.balancers[0].Tables.View().Config }
+// config returns the newest configuration in force anywhere.
+func (m *memory) config() model.Config {
+	var newest model.Config
+	for _, b := range m.balancers {
+		if cfg := b.Tables.View().Config; cfg.Revision >= newest.Revision {
+			newest = cfg
+		}
+	}
+	return newest
+}
 
 func (m *memory) hosts() {
 	var live []model.Balancer
--- a/core/table/pool.go
+++ b/core/table/pool.go
@@ -7,10 +7,15 @@
 	"egretdock/core/slots"
 )
 
-// MaxGenerations is the number of earlier upstream sets that a pool keeps. A
-// rolling replacement of a service's 15 upstreams makes 15 generations, and a
-// flow without a token must be found on any of them.
-const MaxGenerations = 16
+const (
+	// MaxGenerations is the number of earlier slot tables that a pool keeps. A
+	// flow without a token is looked for in them before all other upstreams.
+	MaxGenerations = 4
+	// MaxRemoved is the number of removed upstreams in which a flow without a
+	// token is looked for. It covers four rolling replacements of a service of
+	// 15 upstreams.
+	MaxRemoved = 64
+)
 
 // Pool is the set of upstreams that serves one customer, with the slot table
 // built from it. It is immutable.
@@ -19,8 +24,12 @@
 	Upstreams []model.Upstream
 	// Slots has one name for each upstream, in the same order.
 	Slots slots.Table
-	// Older holds earlier generations, newest first; their own Older is nil.
+	// Older holds earlier generations, newest first; their own Older and
+	// Removed are nil.
 	Older []*Pool
+	// Removed are the upstreams of earlier generations that Upstreams lacks,
+	// newest first.
+	Removed []model.Upstream
 }
 
 func newPool(us []model.Upstream) *Pool {
@@ -35,11 +44,19 @@
 func (p *Pool) withHistory(prev *Pool) *Pool {
 	n := *p
 	last := *prev
-	last.Older = nil
+	last.Older, last.Removed = nil, nil
 	n.Older = append([]*Pool{&last}, prev.Older...)
 	if len(n.Older) > MaxGenerations {
 		n.Older = n.Older[:MaxGenerations]
 	}
+	for _, u := range slices.Concat(prev.Upstreams, prev.Removed) {
+		if !slices.ContainsFunc(n.Upstreams, func(v model.Upstream) bool { return v.Endpoint == u.Endpoint }) {
+			n.Removed = append(n.Removed, u)
+		}
+	}
+	if len(n.Removed) > MaxRemoved {
+		n.Removed = n.Removed[:MaxRemoved]
+	}
 	return &n
 }
 
@@ -55,24 +72,27 @@
 func (p *Pool) Placement(flow uint64) Candidates {
 	var c Candidates
 	c.add(p, flow)
-	c.addSpares(p, flow)
+	c.addAll(p.Upstreams, flow, min(c.n+spares, maxCandidates))
 	return c
 }
 
-// Search returns the upstreams that may hold an established flow: the current
-// candidates first, then those of earlier generations.
+// Search returns the upstreams that may hold an established flow, the likely
+// ones first: the slots of the current and of earlier generations, then all
+// other upstreams, since a flow may have been opened at a spare.
 func (p *Pool) Search(flow uint64) Candidates {
 	var c Candidates
 	c.add(p, flow)
 	for _, o := range p.Older {
 		c.add(o, flow)
 	}
-	c.addSpares(p, flow)
+	c.addAll(p.Removed, 0, maxCandidates)
+	c.addAll(p.Upstreams, flow, maxCandidates)
 	return c
 }
 
-// maxCandidates bounds the upstreams tried for one packet of unknown route.
-const maxCandidates = 16
+// maxCandidates bounds the upstreams tried for one packet of unknown route: the
+// removed ones and those of a service of 15.
+const maxCandidates = 80
 
 // Candidates is a short list of upstreams without duplicates.
 type Candidates struct {
@@ -101,11 +121,11 @@
 	}
 }
 
-func (c *Candidates) addSpares(p *Pool, flow uint64) {
-	n := uint64(len(p.Upstreams))
-	want := min(c.n+spares, maxCandidates, len(p.Upstreams))
-	for i := uint64(0); i < n && c.n < want; i++ {
-		if u := &p.Upstreams[(flow+i)%n]; !c.has(u) {
+// addAll adds upstreams, starting at index from, up to limit candidates in all.
+func (c *Candidates) addAll(us []model.Upstream, from uint64, limit int) {
+	n := uint64(len(us))
+	for i := uint64(0); i < n && c.n < limit; i++ {
+		if u := &us[(from+i)%n]; !c.has(u) {
 			c.list[c.n] = u
 			c.n++
 		}
