Acknowledge a revision only when no worker routes by an older one

Cause: the model of the quarantine showed a misrouted packet when a balancer acknowledges a revision while one of its workers still holds packets that were routed by the view before. Workers now mark their batches, and the revision that gossip carries waits until all older batches have been sent.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -58,7 +58,7 @@
 	case *input.Gossip:
 		e.gossip(w, now, in.Message)
 	case *input.Configured:
-		e.configure(w, now, in.Config)
+		e.configure(w, in.Config)
 	case *input.Hosts:
 		e.updateMembers(w, now, func(s *member.State) []member.Send {
 			s.SetHosts(now, in.Balancers)
@@ -73,14 +73,10 @@
 	}
 }
 
-func (e *Engine) configure(w *Work, now time.Time, cfg model.Config) {
+func (e *Engine) configure(w *Work, cfg model.Config) {
 	if !cmds.Configure(&w.locks, &e.Tables, cfg) {
 		return
 	}
-	e.updateMembers(w, now, func(s *member.State) []member.Send {
-		s.SetRevision(cfg.Revision)
-		return nil
-	})
 	e.claim(w)
 	w.Out.Add(&effect.Event{Name: "config_in_force", Revision: cfg.Revision})
 }
--- a/core/engine/fault_test.go
+++ b/core/engine/fault_test.go
@@ -125,17 +125,25 @@
 // Guards against work that waits for ever at a balancer that lost ownership.
 func TestQueuedWorkAfterOwnerChange(t *testing.T) {
 	m := newMemory(t, 2, 1)
-	var flows []*memFlow
-	for range 4 {
+	u := upstreamNamed(m, "u000").Upstream
+	for range 2 {
+		f := m.flow(orderAddr).mustOpen(0)
+		f.send(0, &packet.Request{ID: 1, Attempt: 1, Timeout: 9 * time.Second})
+	}
+	var queued []*memFlow
+	for range 2 {
 		f := m.flow(orderAddr)
-		f.send(0, &packet.Open{Attempt: 1, Timeout: 400 * time.Millisecond})
-		flows = append(flows, f)
+		f.send(0, &packet.Open{Attempt: 1, Timeout: 9 * time.Second})
+		queued = append(queued, f)
 	}
-	m.addBalancer("dc0")
-	m.pass(time.Second)
-	for i, f := range flows {
+	was, _ := m.balancers[0].Tables.Members().Owner(u)
+	for now := was; now.Name == was.Name; now, _ = m.balancers[0].Tables.Members().Owner(u) {
+		m.addBalancer("dc0")
+	}
+	m.pass(10 * time.Second)
+	for i, f := range queued {
 		if f.last() == nil {
-			t.Errorf("opening %d got no reply a second after its deadline", i)
+			t.Errorf("opening %d got no reply after its deadline", i)
 		}
 	}
 }
@@ -215,3 +223,80 @@
 		})
 	}
 }
+
+// Guards against a graceful exit that cuts a request or takes new work.
+func TestLeavingBalancer(t *testing.T) {
+	m := newMemory(t, 4, 4)
+	f := m.flow(orderAddr).mustOpen(0)
+	owner := f.ownerOf()
+	f.send(owner, &packet.Request{ID: 1, Attempt: 1})
+	m.give(m.balancers[owner], &input.Leave{})
+	m.settle()
+	m.pass(3 * time.Second)
+	t.Run("owns nothing", func(t *testing.T) {
+		for i, b := range m.balancers {
+			if o, _ := b.Tables.Members().Owner(f.upstream().Upstream); o.Name == m.balancers[owner].Self.Name {
+				t.Errorf("balancer %d still takes the leaving one for the owner", i)
+			}
+		}
+	})
+	t.Run("request in progress ends", func(t *testing.T) {
+		m.finish(f.upstream())
+		wantBody[*packet.Answer](t, f)
+		wantRuns(t, m, f, 1, 1)
+	})
+	t.Run("packets that still reach it are relayed", func(t *testing.T) {
+		g := m.flow(orderAddr).mustOpen(owner)
+		g.send(owner, &packet.Request{ID: 1, Attempt: 1})
+		m.finish(g.upstream())
+		wantBody[*packet.Answer](t, g)
+	})
+}
+
+// Guards against a request that is refused at its upstream and then tried at
+// another one, where the flow does not exist.
+func TestRefusedRequestStaysWithItsFlow(t *testing.T) {
+	m := newMemory(t, 2, 3)
+	f := m.flow(orderAddr).mustOpen(0)
+	f.send(0, &packet.Cancel{ID: 1, Attempt: 1, Reason: packet.ReasonCancelled})
+	f.send(1, &packet.Request{ID: 1, Attempt: 1})
+	wantBody[*packet.Refuse](t, f)
+	wantRuns(t, m, f, 1, 0)
+}
+
+// Guards against a false "not run" of an owner that cannot know: another owner
+// forwarded a copy before.
+func TestRefusalWhileACopyRuns(t *testing.T) {
+	m := newMemory(t, 4, 1)
+	f := m.flow(orderAddr).mustOpen(0)
+	owner := f.ownerOf()
+	f.send(owner, &packet.Request{ID: 1, Attempt: 1})
+	m.isolate(owner)
+	// The new owner has no room left, so that it must refuse.
+	for i := range 60 {
+		g := m.flow(orderAddr)
+		g.send(m.other(owner), &packet.Open{Attempt: uint32(i + 1), Timeout: 100 * time.Second})
+	}
+	f.send(m.other(owner), &packet.Request{ID: 1, Attempt: 2, Timeout: time.Millisecond})
+	m.pass(time.Second)
+	for _, p := range m.inbox[f.id] {
+		if b, ok := p.Body.(*packet.Refuse); ok && b.ID == 1 {
+			t.Errorf("not_run_true: request was refused (%s) although it runs", b.Reason)
+		}
+	}
+	wantRuns(t, m, f, 1, 1)
+}
+
+// Guards against an owner that follows a relay to an upstream of another
+// service: the sender may still have an older table.
+func TestOwnerChecksService(t *testing.T) {
+	m := newMemory(t, 2, 3)
+	foreign := upstreamNamed(m, "u100")
+	for i, b := range m.balancers {
+		f := m.flow(orderAddr)
+		p := packet.Packet{Header: packet.Header{Flow: f.id, Address: orderAddr}, Body: &packet.Open{Attempt: uint32(i + 1)}}
+		m.give(b, &input.FromPeer{Relay: input.Relay{Packet: p, Target: foreign.Endpoint, Hops: 1}})
+		m.settle()
+	}
+	wantNoForeign(t, m)
+}
--- a/core/engine/memory_test.go
+++ b/core/engine/memory_test.go
@@ -53,6 +53,8 @@
 	// via holds the balancer that sent the last packet of a request.
 	running []memRun
 	foreign int
+	// opens counts the openings that arrived.
+	opens   int
 	service netip.Addr
 }
 
@@ -248,6 +250,7 @@
 	reply := func(body packet.Body, handshake uint32) { m.upstreamSends(u, b, p, body, handshake) }
 	c := u.conns[p.Flow]
 	if o, ok := p.Body.(*packet.Open); ok {
+		u.opens++
 		switch {
 		case c == nil && u.draining:
 			reply(&packet.Refuse{Attempt: o.Attempt, Reason: packet.ReasonDraining}, 0)
--- a/core/engine/path_test.go
+++ b/core/engine/path_test.go
@@ -174,12 +174,16 @@
 		wantBody[*packet.Data](t, feed)
 	})
 	t.Run("no new flow", func(t *testing.T) {
+		before := u.opens
 		for range 50 {
 			f := m.flow(feedAddr).mustOpen(m.rnd.IntN(4))
 			if f.route.Endpoint == u.Endpoint {
 				t.Fatalf("flow opened at the draining upstream %s", u.Name)
 			}
 		}
+		if n := u.opens - before; n != 0 {
+			t.Errorf("%d openings reached the draining upstream", n)
+		}
 	})
 	t.Run("no new request on an open flow", func(t *testing.T) {
 		if order.route.Endpoint != u.Endpoint {
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -12,7 +12,10 @@
 
 func (e *Engine) tick(w *Work, now time.Time) {
 	e.Tables.Ticked.Store(now.UnixNano())
-	e.updateMembers(w, now, func(s *member.State) []member.Send { return s.Tick(now, w.Rand) })
+	e.updateMembers(w, now, func(s *member.State) []member.Send {
+		e.acknowledge(s)
+		return s.Tick(now, w.Rand)
+	})
 	e.Tables.Probes.Expire(&w.locks, now)
 	o := e.Tables.Ownership()
 	for _, pl := range o.Mine {
@@ -28,6 +31,14 @@
 	}
 }
 
+// acknowledge lets gossip carry the revision in force once no worker routes by
+// an older one. An endpoint may be given to another service after that.
+func (e *Engine) acknowledge(s *member.State) {
+	if n := e.Tables.View().Config.Revision; e.Tables.Readers.Passed(n) {
+		s.SetRevision(n)
+	}
+}
+
 // sweep lets time pass at one upstream and reports whether its health endpoint
 // should be asked.
 func (e *Engine) sweep(w *Work, now time.Time, pl *table.Place) bool {
--- a/core/table/set.go
+++ b/core/table/set.go
@@ -28,6 +28,8 @@
 	Flows Flows
 	// Probes holds packets of unknown route.
 	Probes Probes
+	// Readers tracks the revisions that workers route by.
+	Readers Readers
 	// Limits holds the use of customers and services.
 	Limits Limits
 	// Ticked is the time of the last tick in nanoseconds since the Unix epoch.
--- a/core/worker/pool.go
+++ b/core/worker/pool.go
@@ -52,7 +52,10 @@
 
 func (p *Pool) work(ctx context.Context, src Source, out Sink, seed uint64) error {
 	w := engine.NewWork(seed)
+	tables := &p.Engine.Tables
+	reader := tables.Readers.Add()
 	handle := func(in input.Input) {
+		reader.Enter(tables.View())
 		w.Out.Reset()
 		p.Engine.Handle(w, p.Now(), in)
 		for _, e := range w.Out.Items() {
@@ -62,6 +65,7 @@
 	for {
 		err := src.Read(handle)
 		out.Flush()
+		reader.Exit()
 		if ctx.Err() != nil {
 			return nil
 		}
