admit: smooth latencies over 32 answers

The minimum of means over 16 answers fell so low that the limit stayed near 2.

Change: means are taken over 32 answers and count as minimum from 16 on. Unit tests for shares by slot time, weights, priority, estimates and bursts of sheds.

--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -3,9 +3,13 @@
 import "time"
 
 const (
-	// smoothing is the number of samples over which means are taken. A mean
-	// of fewer does not count as a minimum, since chance alone makes it low.
-	smoothing = 16
+	// smoothing is the number of samples over which means are taken. With 16,
+	// exponential service times made the minimum so low by chance that the
+	// limit fell to 2.
+	smoothing = 32
+	// warmup is the number of samples before the mean counts as a minimum: a
+	// probe yields no more.
+	warmup = batch
 	// minWindow is the time after which an old minimum is forgotten, at the
 	// latest after twice as long. It is the interval of probes, so that each
 	// window contains one.
@@ -28,7 +32,7 @@
 func (p pace) WithSample(now time.Time, d time.Duration) pace {
 	p.n = min(p.n+1, smoothing)
 	p.mean += (d.Seconds() - p.mean) / float64(p.n)
-	if p.n < smoothing {
+	if p.n < warmup {
 		return p
 	}
 	if now.Sub(p.turned) >= minWindow {
--- a/core/admit/upstream_test.go
+++ b/core/admit/upstream_test.go
@@ -175,6 +175,148 @@
 	}
 }
 
+// granted plays rounds in which every grant is held for the time that hold gives
+// and every customer keeps the number of items waiting that backlog gives. It
+// returns the slot time of each customer.
+func granted(u *Upstream, from, rounds int, backlog map[string]int, weight func(string) float64, hold func(string) time.Duration) map[string]time.Duration {
+	rnd, now := newRand(), testStart.Add(time.Duration(from)*time.Second)
+	used := make(map[string]time.Duration)
+	flow := uint64(from) << 32
+	for range rounds {
+		for _, name := range []string{"a", "b"} {
+			for range backlog[name] {
+				flow++
+				it := opening(name, flow)
+				it.Weight = weight(name)
+				u.Offer(now, it, rnd)
+			}
+		}
+		for _, ok := u.Pop(now); ok; _, ok = u.Pop(now) {
+		}
+		u.Expire(now)
+		g := u.running[0]
+		now = now.Add(hold(g.item.Customer))
+		used[g.item.Customer] += now.Sub(g.since)
+		u.Finish(now, g.item.Key, Abandoned{})
+	}
+	return used
+}
+
+// Guards against a customer that gets more than its weight: by sending more, by
+// having been idle, by slow requests or by openings without requests.
+func TestCustomerShares(t *testing.T) {
+	equal := func(string) float64 { return 1 }
+	service := func(string) time.Duration { return simService }
+	slowA := func(name string) time.Duration {
+		if name == "a" {
+			return 5 * simService
+		}
+		return simService
+	}
+	for _, tc := range []struct {
+		name    string
+		backlog map[string]int
+		before  int
+		weight  func(string) float64
+		hold    func(string) time.Duration
+		want    float64
+	}{
+		{"floods", map[string]int{"a": 10, "b": 1}, 0, equal, service, 1},
+		{"was idle", map[string]int{"a": 2, "b": 2}, 300, equal, service, 1},
+		{"has weight 3", map[string]int{"a": 3, "b": 3}, 0, func(name string) float64 { return map[string]float64{"a": 3, "b": 1}[name] }, service, 3},
+		{"is slow", map[string]int{"a": 2, "b": 2}, 0, equal, slowA, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			u := &Upstream{}
+			u.SetSlots(1)
+			granted(u, 0, tc.before, map[string]int{"b": 2}, tc.weight, tc.hold)
+			used := granted(u, 100, 300, tc.backlog, tc.weight, tc.hold)
+			if got := float64(used["a"]) / float64(used["b"]); got < 0.9*tc.want || got > 1.1*tc.want {
+				t.Errorf("a used %.2f times the slot time of b, want %.1f", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against an order of grants that follows arrival instead of priority,
+// and against the drop of a heavy customer's items for a light one's.
+func TestPriorityAndWeight(t *testing.T) {
+	u := filled()
+	urgent := opening("b", 100)
+	urgent.Class.Name, urgent.Class.Priority = "urgent", 9
+	u.Offer(testStart, urgent, newRand())
+	u.classes[0].model.MinShare = 0
+	u.Finish(testStart, Key{Flow: 1}, Abandoned{})
+	if it, ok := u.Pop(testStart); !ok || it.Key != urgent.Key {
+		t.Errorf("Pop = %v, %v, want the urgent item", it.Key, ok)
+	}
+	heavy := opening("b", 0)
+	heavy.Weight = 100
+	for i := range uint64(10) {
+		heavy.Key.Flow = 200 + i
+		u.Offer(testStart, heavy, newRand())
+	}
+	for _, d := range u.Expire(testStart) {
+		if d.Item.Customer != "a" {
+			t.Errorf("flow %d of the heavy customer was dropped", d.Item.Key.Flow)
+		}
+	}
+}
+
+// Guards against estimates that let hopeless work through, or that refuse a
+// class for ever once they are wrong.
+func TestEstimates(t *testing.T) {
+	u := filled()
+	u.classes[0].holds = u.classes[0].holds.WithSample(testStart, time.Second)
+	u.now = testStart
+	item := func(flow uint64, d time.Duration) Item {
+		it := opening("b", flow)
+		it.Deadline = testStart.Add(d)
+		return it
+	}
+	t.Run("hopeless at its turn", func(t *testing.T) {
+		late := item(100, 30*time.Second)
+		u.Offer(testStart, late, newRand())
+		u.Expire(testStart)
+		now := late.Deadline.Add(-100 * time.Millisecond)
+		u.Finish(now, Key{Flow: 1}, Abandoned{})
+		for it, ok := u.Pop(now); ok; it, ok = u.Pop(now) {
+			if it.Key == late.Key {
+				t.Error("an item without time to finish was granted")
+			}
+			u.Finish(now, it.Key, Abandoned{})
+		}
+	})
+	t.Run("renewed", func(t *testing.T) {
+		u := filled()
+		other := item(100, 400*time.Millisecond)
+		other.Class = simClasses[1]
+		u.class(other.Class).holds = pace{mean: 10, n: 1}
+		if v := u.Offer(testStart, other, newRand()); v != (Queued{Length: 17}) {
+			t.Errorf("Offer = %#v, want a place in the queue", v)
+		}
+	})
+}
+
+// Guards against sheds of one burst that each lower the limit, and against
+// growth back into the load at which an upstream sheds.
+func TestShedBurst(t *testing.T) {
+	l := concurrency{slots: 10}
+	now := testStart.Add(time.Second)
+	for range 10 {
+		l = l.WithShed(now, testStart)
+	}
+	if got := l.At(now); got != 7 {
+		t.Errorf("limit %d after one burst of sheds at 10, want 7", got)
+	}
+	for at := time.Duration(0); at < growPause; at += simService {
+		l = l.WithAnswer(now.Add(at), 1, 1, true)
+	}
+	if got := l.At(now.Add(growPause)); got != 7 {
+		t.Errorf("limit %d within %v after a shed, want 7", got, growPause)
+	}
+}
+
 // Guards against items that get lost or counted twice between the queue and the
 // slots, over 20,000 random commands of a seed.
 func TestCountsAgree(t *testing.T) {
