Describe the example deployments as values and deploy them on loopback

The fleet gives each process an address that tells its data centre, so that a switch can cut data centres off from each other. Balancers of a fleet are behind an interface, so that baselines can take their place.

--- /dev/null
+++ b/io/emul/cases/case.go
@@ -0,0 +1,142 @@
+// Package cases describes the example deployments as values.
+package cases
+
+import (
+	"net/netip"
+	"time"
+
+	"egretdock/core/fault"
+	"egretdock/core/model"
+	"egretdock/io/emul/upstr"
+)
+
+// Case is one example deployment with its usual workload. It is immutable.
+type Case struct {
+	Name        string
+	DataCentres []string
+	// Balancers is their number; they are spread over the data centres in turn.
+	Balancers int
+	Services  []Service
+	Customers []Customer
+}
+
+// Service is one template with its upstreams and the work that it gets.
+type Service struct {
+	Template model.Template
+	// Upstreams is their number; they are spread over the data centres in turn.
+	Upstreams int
+	// Slots and Connections are those of each upstream.
+	Slots, Connections int
+	// Work has one entry for each class of the template.
+	Work []Work
+}
+
+// Work describes the workload of one class over all its customers.
+type Work struct {
+	Class string
+	// Rate is the number of requests or uploads per second.
+	Rate float64
+	// Open is the number of feeds held open.
+	Open int
+	// Service is the time that a request holds a slot; Jitter is the part of
+	// it that varies.
+	Service time.Duration
+	Jitter  float64
+	// AnswerBytes is the length of an answer.
+	AnswerBytes int
+	// PushEvery is the interval of pushed messages on a feed.
+	PushEvery time.Duration
+	// Chunks of ChunkBytes make one upload; ChunkEvery is the pause between
+	// two of them.
+	Chunks, ChunkBytes int
+	ChunkEvery         time.Duration
+	// Timeout is the time after which a client gives up.
+	Timeout time.Duration
+}
+
+// Customer is one firm's use of one service.
+type Customer struct {
+	// Name is unique in the configuration.
+	Name string
+	// Firm is the same for all uses by one firm.
+	Firm string
+	// Service names the template.
+	Service string
+	Address netip.Addr
+}
+
+// Capacity returns the requests per second that the upstreams of the service
+// can run of one class alone.
+func (s Service) Capacity(w Work) float64 {
+	if w.Service <= 0 {
+		return 0
+	}
+	return float64(s.Upstreams*s.Slots) / w.Service.Seconds()
+}
+
+// Behaviours returns what an upstream of the service does, by port.
+func (s Service) Behaviours() map[uint16]upstr.Behaviour {
+	out := make(map[uint16]upstr.Behaviour, len(s.Work))
+	for _, w := range s.Work {
+		for _, c := range s.Template.Classes {
+			if c.Name == w.Class {
+				out[c.Port] = upstr.Behaviour{
+					Kind: c.Kind, Service: w.Service, Jitter: w.Jitter,
+					PushEvery: w.PushEvery, AnswerBytes: w.AnswerBytes,
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Service returns the named service.
+func (c Case) Service(name string) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Template.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Using returns the customers of a service.
+func (c Case) Using(service string) []Customer {
+	var out []Customer
+	for _, u := range c.Customers {
+		if u.Service == service {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Addresses returns the service addresses of a service's customers.
+func (c Case) Addresses(service string) map[netip.Addr]bool {
+	out := make(map[netip.Addr]bool)
+	for _, u := range c.Using(service) {
+		out[u.Address] = true
+	}
+	return out
+}
+
+// WithBalancers returns a copy with another number of balancers.
+func (c Case) WithBalancers(n int) Case {
+	c.Balancers = n
+	return c
+}
+
+// Names returns the names of the examples.
+func Names() []string { return []string{"casablanca", "lagos"} }
+
+// Find returns the named example.
+func Find(name string) (Case, error) {
+	switch name {
+	case "casablanca":
+		return Casablanca(), nil
+	case "lagos":
+		return Lagos(), nil
+	default:
+		return Case{}, fault.New(fault.KindNotFound, "no example "+name, "choose casablanca or lagos")
+	}
+}
--- /dev/null
+++ b/io/emul/fleet/deploy.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+
+	"egretdock/core/model"
+	"egretdock/io/emul/cases"
+	"egretdock/io/emul/upstr"
+)
+
+// Deploy starts the balancers and upstreams of an example and waits until its
+// configuration is in force everywhere.
+func (f *Fleet) Deploy(ctx context.Context, c cases.Case, seed uint64) error {
+	for i := range c.Balancers {
+		name := fmt.Sprintf("b%02d", i+1)
+		if err := f.AddBalancer(name, c.DataCentres[i%len(c.DataCentres)]); err != nil {
+			return err
+		}
+	}
+	cfg := model.Config{Revision: 1}
+	for _, s := range c.Services {
+		cfg = cfg.WithTemplate(s.Template)
+		us, err := f.addUpstreams(c, s, seed)
+		if err != nil {
+			return err
+		}
+		for _, u := range c.Using(s.Template.Name) {
+			p := model.Params{Customer: u.Name, Template: u.Service, Address: u.Address}
+			for _, up := range us {
+				p = p.WithUpstream(up)
+			}
+			cfg = cfg.WithParams(p)
+		}
+	}
+	f.Configure(cfg)
+	return f.AwaitRevision(ctx, cfg.Revision)
+}
+
+func (f *Fleet) addUpstreams(c cases.Case, s cases.Service, seed uint64) ([]model.Upstream, error) {
+	var out []model.Upstream
+	for i := range s.Upstreams {
+		name := fmt.Sprintf("%s_%02d", s.Template.Name, i+1)
+		u, err := f.AddCaseUpstream(c, s, c.DataCentres[i%len(c.DataCentres)], name, seed+uint64(i))
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, u)
+	}
+	return out, nil
+}
+
+// AddCaseUpstream starts one upstream of an example's service.
+func (f *Fleet) AddCaseUpstream(c cases.Case, s cases.Service, dataCentre, name string, seed uint64) (model.Upstream, error) {
+	return f.AddUpstream(dataCentre, upstr.Config{
+		Name: name, Service: s.Template.Name, Addresses: c.Addresses(s.Template.Name),
+		Slots: s.Slots, Connections: s.Connections, Behaviours: s.Behaviours(), Seed: seed,
+	})
+}
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -15,9 +15,26 @@
 	"egretdock/io/emul/upstr"
 )
 
-var loopback = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+// Process is one running balancer.
+type Process interface {
+	Self() model.Balancer
+	// ClientAddr is where clients send datagrams.
+	ClientAddr() netip.AddrPort
+	// Revision is that of the configuration in force.
+	Revision() uint64
+	// Run serves until ctx is cancelled.
+	Run(ctx context.Context, inputs <-chan input.Input) error
+}
+
+// Options change a deployment. The zero value selects real daemons.
+type Options struct {
+	// Start makes a balancer; nil makes a daemon.
+	Start func(daemon.Config) (Process, error)
+	// Events receives the events of all balancers; may be nil.
+	Events func(balancer string, e *effect.Event)
+}
 
-// Fleet is a running deployment.
+// Fleet is a running deployment. No lock is held while another is taken.
 type Fleet struct {
 	// Journal records what the upstreams ran.
 	Journal upstr.Journal
@@ -25,31 +42,38 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	key    []byte
+	opts   Options
+	net    network
 
 	mu        sync.Mutex
 	balancers map[string]*balancer
 	upstreams map[string]*upstr.Server
 	cfg       model.Config
-	events    func(string, *effect.Event)
 	// changed is closed and replaced when a balancer's configuration changes.
 	changed chan struct{}
 }
 
 type balancer struct {
-	*daemon.Daemon
-	inputs chan input.Input
-	cancel context.CancelFunc
-	done   chan struct{}
+	Process
+	dataCentre string
+	inputs     chan input.Input
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
-// New returns an empty deployment; Close stops it. events receives the events
-// of all balancers and may be nil.
-func New(ctx context.Context, events func(balancer string, e *effect.Event)) *Fleet {
+// New returns an empty deployment; Close stops it.
+func New(ctx context.Context, opts Options) *Fleet {
+	if opts.Start == nil {
+		opts.Start = func(cfg daemon.Config) (Process, error) { return daemon.New(cfg) }
+	}
+	if opts.Events == nil {
+		opts.Events = func(string, *effect.Event) {}
+	}
 	f := &Fleet{
 		key:       []byte("loopback fleet key, not a secret"),
+		opts:      opts,
 		balancers: make(map[string]*balancer),
 		upstreams: make(map[string]*upstr.Server),
-		events:    events,
 		changed:   make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(ctx)
@@ -59,11 +83,11 @@
 // Close stops everything and waits.
 func (f *Fleet) Close() {
 	f.cancel()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, b := range f.balancers {
+	for _, b := range f.list() {
 		<-b.done
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, u := range f.upstreams {
 		u.Close()
 	}
@@ -71,9 +95,10 @@
 
 // AddBalancer starts a balancer and tells all of it.
 func (f *Fleet) AddBalancer(name, dataCentre string) error {
-	d, err := daemon.New(daemon.Config{
+	bind := netip.AddrPortFrom(f.net.address(dataCentre), 0)
+	p, err := f.opts.Start(daemon.Config{
 		Self:    model.Balancer{Name: name, DataCentre: dataCentre, Incarnation: uint64(time.Now().UnixNano())},
-		Clients: loopback, Upstreams: loopback, Peers: loopback,
+		Clients: bind, Upstreams: bind, Peers: bind,
 		Key: f.key,
 		Events: func(e *effect.Event) { f.event(name, e) },
 	})
@@ -81,10 +106,10 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
-	b := &balancer{Daemon: d, inputs: make(chan input.Input), cancel: cancel, done: make(chan struct{})}
+	b := &balancer{Process: p, dataCentre: dataCentre, inputs: make(chan input.Input), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(b.done)
-		_ = d.Run(ctx, b.inputs)
+		_ = p.Run(ctx, b.inputs)
 	}()
 	f.mu.Lock()
 	f.balancers[name] = b
@@ -96,9 +121,7 @@
 }
 
 func (f *Fleet) event(balancer string, e *effect.Event) {
-	if f.events != nil {
-		f.events(balancer, e)
-	}
+	f.opts.Events(balancer, e)
 	if e.Name == "config_in_force" {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -107,62 +130,60 @@
 	}
 }
 
-// AwaitRevision waits until all live balancers have the revision in force.
-func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64) error {
-	for {
-		f.mu.Lock()
-		changed, ready := f.changed, true
-		for _, b := range f.balancers {
-			ready = ready && b.Revision() >= revision
-		}
-		f.mu.Unlock()
-		if ready {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// KillBalancer stops a balancer without notice.
+func (f *Fleet) KillBalancer(name string) {
+	if b := f.take(name); b != nil {
+		b.cancel()
+		<-b.done
+		f.announce()
 	}
 }
 
-// KillBalancer stops a balancer without notice.
-func (f *Fleet) KillBalancer(name string) {
-	f.mu.Lock()
-	b := f.balancers[name]
-	delete(f.balancers, name)
-	f.mu.Unlock()
+// exitBound ends a balancer that does not finish by itself after it was asked
+// to leave. No request of the examples lasts longer.
+const exitBound = 5 * time.Second
+
+// RetireBalancer asks a balancer to leave and waits until it has ended.
+func (f *Fleet) RetireBalancer(name string) {
+	b := f.take(name)
 	if b == nil {
 		return
 	}
+	f.push(b, &input.Leave{})
+	f.announce()
+	bound := time.NewTimer(exitBound)
+	defer bound.Stop()
+	select {
+	case <-b.done:
+	case <-bound.C:
+	}
 	b.cancel()
 	<-b.done
-	f.announce()
 }
 
-// announce gives all balancers the list of hosts.
+// take removes a balancer from the deployment without stopping it.
+func (f *Fleet) take(name string) *balancer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.balancers[name]
+	delete(f.balancers, name)
+	return b
+}
+
+// announce gives all balancers the list of the hosts that they reach.
 func (f *Fleet) announce() {
-	var hosts []model.Balancer
 	bs := f.list()
 	for _, b := range bs {
-		hosts = append(hosts, b.Self())
-	}
-	for _, b := range bs {
+		var hosts []model.Balancer
+		for _, o := range bs {
+			if f.net.isAway(o.dataCentre) == f.net.isAway(b.dataCentre) {
+				hosts = append(hosts, o.Self())
+			}
+		}
 		f.push(b, &input.Hosts{Balancers: hosts})
 	}
 }
 
-func (f *Fleet) list() []*balancer {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make([]*balancer, 0, len(f.balancers))
-	for _, b := range f.balancers {
-		out = append(out, b)
-	}
-	return out
-}
-
 func (f *Fleet) push(b *balancer, in input.Input) {
 	select {
 	case b.inputs <- in:
@@ -170,18 +191,11 @@
 	}
 }
 
-// Entry returns the client-facing addresses of the live balancers.
-func (f *Fleet) Entry() []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, b := range f.list() {
-		out = append(out, b.ClientAddr())
-	}
-	return out
-}
-
 // AddUpstream starts a stand-in upstream and returns how to reach it.
 func (f *Fleet) AddUpstream(dataCentre string, cfg upstr.Config) (model.Upstream, error) {
-	cfg.Listen, cfg.Health, cfg.Journal = loopback, loopback, &f.Journal
+	ip := f.net.address(dataCentre)
+	cfg.Listen, cfg.Health, cfg.Journal = netip.AddrPortFrom(ip, 0), netip.AddrPortFrom(ip, 0), &f.Journal
+	cfg.Cut = func(balancer netip.Addr) bool { return f.net.isCut(ip, balancer) }
 	s, err := upstr.Start(cfg)
 	if err != nil {
 		return model.Upstream{}, err
@@ -192,19 +206,32 @@
 	return model.Upstream{Name: cfg.Name, DataCentre: dataCentre, Endpoint: s.Endpoint(), Health: s.Health()}, nil
 }
 
-// Upstream returns a running stand-in, or nil.
-func (f *Fleet) Upstream(name string) *upstr.Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.upstreams[name]
-}
-
-// Configure puts a configuration in force on all balancers.
+// Configure puts a configuration in force on all balancers that are not cut
+// off; the others get it from Heal.
 func (f *Fleet) Configure(cfg model.Config) {
 	f.mu.Lock()
 	f.cfg = cfg
 	f.mu.Unlock()
 	for _, b := range f.list() {
-		f.push(b, &input.Configured{Config: cfg})
+		if !f.net.isAway(b.dataCentre) {
+			f.push(b, &input.Configured{Config: cfg})
+		}
 	}
 }
+
+// Partition cuts data centres off from the others and from configuration.
+// Packets between balancers and upstreams of the two sides are dropped, and the
+// balancers of each side lose sight of the other. The health endpoints of
+// upstreams stay reachable, since the daemon's HTTP client has no address of
+// its own.
+func (f *Fleet) Partition(dataCentres ...string) {
+	f.net.cut(dataCentres)
+	f.announce()
+}
+
+// Heal ends a partition.
+func (f *Fleet) Heal() {
+	f.net.cut(nil)
+	f.announce()
+	f.Configure(f.Config())
+}
--- a/io/emul/upstr/connection.go
+++ b/io/emul/upstr/connection.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"egretdock/core/model"
 	"egretdock/core/packet"
 )
 
@@ -87,7 +88,10 @@
 	default:
 		s.queue = append(s.queue, j)
 	}
-	s.cfg.Journal.worked(s.cfg.Name, time.Now())
+	// The last request of an upload ends work that was let in before.
+	if c.behaviour.Kind == model.KindRequest {
+		s.cfg.Journal.worked(s.cfg.Name, time.Now())
+	}
 }
 
 func (s *Server) repeat(j *job, attempt uint32) {
--- a/io/emul/upstr/journal.go
+++ b/io/emul/upstr/journal.go
@@ -18,11 +18,21 @@
 	At      time.Time
 }
 
+// Accept is one flow that an upstream accepted.
+type Accept struct {
+	Upstream    string
+	Incarnation uint64
+	Address     netip.AddrPort
+	Flow        uint64
+	At          time.Time
+}
+
 // Journal records the executions of all upstreams of a deployment. It is safe
 // for concurrent use; the zero value is empty.
 type Journal struct {
 	mu        sync.Mutex
 	runs      []Run
+	accepts   []Accept
 	misrouted int
 	opened    map[string]time.Time
 }
@@ -33,6 +43,13 @@
 	j.runs = append(j.runs, r)
 }
 
+func (j *Journal) accepted(a Accept) {
+	j.mu.Lock()
+	j.accepts = append(j.accepts, a)
+	j.mu.Unlock()
+	j.worked(a.Upstream, a.At)
+}
+
 func (j *Journal) misroute() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -56,6 +73,13 @@
 	return append([]Run(nil), j.runs...)
 }
 
+// Accepts returns a copy of the flows accepted so far.
+func (j *Journal) Accepts() []Accept {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Accept(nil), j.accepts...)
+}
+
 // Misrouted returns the number of packets that reached an upstream of another
 // service or customer.
 func (j *Journal) Misrouted() int {
--- a/io/emul/upstr/server.go
+++ b/io/emul/upstr/server.go
@@ -142,7 +142,7 @@
 			return
 		}
 		var p packet.Packet
-		if d.Decode(buf[:n], &p) != nil {
+		if s.cfg.Cut(via.Addr()) || d.Decode(buf[:n], &p) != nil {
 			continue
 		}
 		s.mu.Lock()
@@ -213,7 +213,9 @@
 		}
 		c = s.newConnection(key, p)
 		s.conns[key] = c
-		s.cfg.Journal.worked(s.cfg.Name, time.Now())
+		s.cfg.Journal.accepted(Accept{
+			Upstream: s.cfg.Name, Incarnation: s.incarnation, Address: p.Address, Flow: p.Flow, At: time.Now(),
+		})
 	}
 	c.via, c.client, c.seen = via, p.Client, time.Now()
 	s.send(c, &packet.Accept{Load: s.load()})
@@ -282,6 +284,9 @@
 }
 
 func (s *Server) reply(h packet.Header, via netip.AddrPort, b packet.Body) {
+	if s.cfg.Cut(via.Addr()) {
+		return
+	}
 	h.Route = packet.Route{Incarnation: s.incarnation}
 	p := packet.Packet{Header: h, Body: b}
 	// The datagram may be lost like any other.
