Check invariants and compute measures from recorded histories

Checkers are pure functions. A flow that was lost with the upstream that held it, or during a partition, does not break flow_survives; each other loss does, whatever the scenario.

--- /dev/null
+++ b/io/emul/audit/measure.go
@@ -0,0 +1,264 @@
+package audit
+
+import (
+	"math"
+	"time"
+
+	"egretdock/core/model"
+)
+
+// Window is the time over which imbalance is measured.
+const Window = 10 * time.Second
+
+// FlowsBroken counts the established feeds and uploads that were lost for any
+// reason.
+func FlowsBroken(h *History) int {
+	n := 0
+	for _, f := range h.Flows {
+		if !f.Broken.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// FlowsBrokenByChange counts those that no failure excuses.
+func FlowsBrokenByChange(h *History) int {
+	n := 0
+	for _, f := range h.Flows {
+		if !f.Broken.IsZero() && !excused(h, f) {
+			n++
+		}
+	}
+	return n
+}
+
+// RanTwice counts the calls that are not idempotent and ran more than once.
+func RanTwice(h *History) int {
+	n := 0
+	runs := byPayload(h.Runs)
+	for _, c := range h.Calls {
+		if !c.Idempotent && len(runs[c.Payload]) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// FalseNotRun counts the calls that were refused although they ran.
+func FalseNotRun(h *History) int {
+	n := 0
+	runs := byPayload(h.Runs)
+	for _, c := range h.Calls {
+		if _, ok := c.Outcome.(NotRun); ok && len(runs[c.Payload]) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// WrongAnswers counts the answers that are not the whole one of their call.
+func WrongAnswers(h *History) int {
+	n := 0
+	for _, c := range h.Calls {
+		if a, ok := c.Outcome.(Answered); ok && !a.Whole {
+			n++
+		}
+	}
+	return n
+}
+
+// Imbalance is the spread of work over the upstreams of one service in the
+// worst window.
+type Imbalance struct {
+	// MaxOverMean is the most loaded upstream's work over the mean.
+	MaxOverMean float64
+	// Variation is the coefficient of variation.
+	Variation float64
+	// Window is the length measured, shorter than the constant in short runs;
+	// zero when nothing could be measured.
+	Window time.Duration
+}
+
+// ImbalanceOf returns the worst imbalance of the runs of a service over
+// windows that step by a second through the given time. Upstreams that were
+// drained, restarted or disturbed in a window are left out of it, since they
+// are meant to get less; so are those that did not serve for all of it.
+func ImbalanceOf(h *History, service string, from, to time.Time) Imbalance {
+	length := min(Window, to.Sub(from))
+	var worst Imbalance
+	for at := from; length > 0 && !at.Add(length).After(to); at = at.Add(time.Second) {
+		mean, dev, top := moments(runsIn(h, service, at, at.Add(length)))
+		if mean <= 0 {
+			continue
+		}
+		if m := top / mean; m > worst.MaxOverMean {
+			worst = Imbalance{MaxOverMean: m, Variation: dev / mean, Window: length}
+		}
+	}
+	return worst
+}
+
+// runsIn counts the runs of each upstream that served normally in a window.
+func runsIn(h *History, service string, from, to time.Time) map[string]float64 {
+	out := make(map[string]float64)
+	for name, s := range h.Upstreams {
+		if s == service && servesAll(h, name, from, to) {
+			out[name] = 0
+		}
+	}
+	for _, r := range h.Runs {
+		if _, ok := out[r.Upstream]; ok && !r.At.Before(from) && r.At.Before(to) {
+			out[r.Upstream]++
+		}
+	}
+	return out
+}
+
+// servesAll reports whether nothing kept an upstream from its share.
+func servesAll(h *History, upstream string, from, to time.Time) bool {
+	for _, f := range h.Faults {
+		name, at, until := span(f)
+		if name == upstream && at.Before(to) && (until.IsZero() || until.After(from)) {
+			return false
+		}
+	}
+	return true
+}
+
+// span returns the upstream that a fault concerns and the time for which it
+// keeps it from its share.
+func span(f Fault) (upstream string, at, until time.Time) {
+	switch f := f.(type) {
+	case Drained:
+		return f.Upstream, f.At, f.Until
+	case Restarted:
+		return f.Upstream, f.At, f.At.Add(slowStart)
+	case Disturbed:
+		return f.Upstream, f.At, f.Until
+	case Killed, Retired, Cut:
+	}
+	return "", time.Time{}, time.Time{}
+}
+
+// slowStart is the time in which a new incarnation gets less work by design.
+const slowStart = 5 * time.Second
+
+func moments(counts map[string]float64) (mean, dev, top float64) {
+	if len(counts) == 0 {
+		return 0, 0, 0
+	}
+	for _, n := range counts {
+		mean += n / float64(len(counts))
+		top = max(top, n)
+	}
+	for _, n := range counts {
+		dev += (n - mean) * (n - mean) / float64(len(counts))
+	}
+	return mean, math.Sqrt(dev), top
+}
+
+// Goodput returns the useful results per second of a class in a time: whole
+// answers, or pushed messages for a feed. customer may be empty for all.
+func Goodput(h *History, class, customer string, from, to time.Time) float64 {
+	n := 0
+	for _, c := range h.Calls {
+		a, ok := c.Outcome.(Answered)
+		if ok && a.Whole && matches(c.Class, class, c.Customer, customer) && within(c.Ended, from, to) {
+			n++
+		}
+	}
+	for _, p := range h.Pushes {
+		if matches(p.Class, class, p.Customer, customer) && within(p.At, from, to) {
+			n += p.Count
+		}
+	}
+	return float64(n) / to.Sub(from).Seconds()
+}
+
+func matches(class, wantClass, customer, wantCustomer string) bool {
+	return class == wantClass && (wantCustomer == "" || customer == wantCustomer)
+}
+
+func within(at, from, to time.Time) bool { return !at.Before(from) && at.Before(to) }
+
+// KeptShare returns the goodput of each class in the flood over that in the
+// steady part of the same run, or nil when the run has no flood.
+func KeptShare(h *History, classes []string) map[string]float64 {
+	steady, flood := phase(h, PhaseSteady), phase(h, PhaseFlood)
+	if steady == nil || flood == nil {
+		return nil
+	}
+	out := make(map[string]float64)
+	for _, c := range classes {
+		if base := Goodput(h, c, "", steady.From, steady.To); base > 0 {
+			out[c] = Goodput(h, c, "", flood.From, flood.To) / base
+		}
+	}
+	return out
+}
+
+// phase returns the first phase of a name, or nil.
+func phase(h *History, name PhaseName) *Phase {
+	for i := range h.Phases {
+		if h.Phases[i].Name == name {
+			return &h.Phases[i]
+		}
+	}
+	return nil
+}
+
+// Jain returns the fairness index of a class between customers that ask for
+// the same: 1 when all get the same, 1/n when one gets all. It is taken over
+// the flood when there is one, else over the whole run.
+func Jain(h *History, class string, customers []string) float64 {
+	from, to := h.Start, h.End
+	if p := phase(h, PhaseFlood); p != nil {
+		from, to = p.From, p.To
+	}
+	var sum, squares float64
+	for _, c := range customers {
+		x := Goodput(h, class, c, from, to)
+		sum += x
+		squares += x * x
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(customers)) * squares)
+}
+
+// DrainLastNewWork returns the longest time after which a draining upstream
+// still took new work. It reports false when the run drained none.
+func DrainLastNewWork(h *History) (time.Duration, bool) {
+	ds := faults[Drained](h)
+	var worst time.Duration
+	for _, d := range ds {
+		worst = max(worst, d.LastWork.Sub(d.At))
+	}
+	return worst, len(ds) > 0
+}
+
+// Opened counts all flows that upstreams accepted for the clients' calls and
+// feeds.
+func Opened(h *History) int {
+	n := 0
+	for _, c := range h.Calls {
+		if _, refused := c.Outcome.(NotRun); !refused && !longLived(c.Kind) {
+			n++
+		}
+	}
+	return n + len(h.Flows)
+}
+
+// UnknownOutcomes counts the calls of a kind whose client does not know what
+// became of them.
+func UnknownOutcomes(h *History, kind model.ClassKind) int {
+	n := 0
+	for _, c := range h.Calls {
+		if _, ok := c.Outcome.(Unknown); ok && c.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/emul/audit/spread.go
@@ -0,0 +1,72 @@
+package audit
+
+import (
+	"slices"
+	"time"
+)
+
+// Delivery is one edit at one balancer.
+type Delivery struct {
+	Revision uint64
+	Balancer string
+	// Took is the time from the moment at which the balancer could learn of the
+	// edit: its acceptance, the balancer's start or the end of a partition.
+	Took time.Duration
+	// Missing is true when the edit is not in force at the end of the run.
+	Missing bool
+}
+
+// Spread returns how each edit reached each balancer that ran until the edit
+// was in force or until the end.
+func Spread(h *History) []Delivery {
+	var out []Delivery
+	for _, e := range h.Edits {
+		for _, l := range h.Balancers {
+			if !l.To.IsZero() && l.To.Before(e.Accepted) {
+				continue
+			}
+			since := reachable(h, l, e.Accepted)
+			at, ok := inForce(h, l.Balancer, e.Revision)
+			switch {
+			case ok:
+				out = append(out, Delivery{Revision: e.Revision, Balancer: l.Balancer, Took: max(0, at.Sub(since))})
+			case l.To.IsZero() && !cutAtEnd(h, l.DataCentre):
+				out = append(out, Delivery{Revision: e.Revision, Balancer: l.Balancer, Missing: true})
+			}
+		}
+	}
+	return out
+}
+
+// reachable returns when a balancer could first learn of an edit accepted at
+// the given time.
+func reachable(h *History, l Life, accepted time.Time) time.Time {
+	since := accepted
+	if l.From.After(since) {
+		since = l.From
+	}
+	for _, c := range faults[Cut](h) {
+		if slices.Contains(c.DataCentres, l.DataCentre) && !since.Before(c.At) && since.Before(c.Healed) {
+			since = c.Healed
+		}
+	}
+	return since
+}
+
+func cutAtEnd(h *History, dataCentre string) bool {
+	for _, c := range faults[Cut](h) {
+		if c.Healed.IsZero() && slices.Contains(c.DataCentres, dataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
+func inForce(h *History, balancer string, revision uint64) (time.Time, bool) {
+	for _, f := range h.InForce {
+		if f.Balancer == balancer && f.Revision >= revision {
+			return f.At, true
+		}
+	}
+	return time.Time{}, false
+}
