--- a/client/link.go
+++ b/client/link.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.KindUnavailable, "cannot open a UDP port", "check the limits of this host")
 	}
+	// A burst of answers must fit until the client reads it; the system may
+	// grant less.
+	_ = conn.SetReadBuffer(4 << 20)
 	return &UDP{conn: conn, balancers: balancers, rnd: rand.New(rand.NewPCG(seed, 1))}, nil
 }
 
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -99,7 +99,7 @@
 	p, err := f.opts.Start(daemon.Config{
 		Self:    model.Balancer{Name: name, DataCentre: dataCentre, Incarnation: uint64(time.Now().UnixNano())},
 		Clients: bind, Upstreams: bind, Peers: bind,
-		Key: f.key,
+		Key:    f.key,
 		Events: func(e *effect.Event) { f.event(name, e) },
 	})
 	if err != nil {
@@ -115,7 +115,7 @@
 	f.balancers[name] = b
 	cfg := f.cfg
 	f.mu.Unlock()
-	f.announce()
+	f.Announce()
 	f.push(b, &input.Configured{Config: cfg})
 	return nil
 }
@@ -130,12 +130,12 @@
 	}
 }
 
-// KillBalancer stops a balancer without notice.
+// KillBalancer stops a balancer without notice; the others learn of it by
+// themselves or from Announce.
 func (f *Fleet) KillBalancer(name string) {
 	if b := f.take(name); b != nil {
 		b.cancel()
 		<-b.done
-		f.announce()
 	}
 }
 
@@ -143,22 +143,25 @@
 // to leave. No request of the examples lasts longer.
 const exitBound = 5 * time.Second
 
-// RetireBalancer asks a balancer to leave and waits until it has ended.
-func (f *Fleet) RetireBalancer(name string) {
+// RetireBalancer asks a balancer to leave and takes it off the list of hosts.
+// The returned function waits until it has ended.
+func (f *Fleet) RetireBalancer(name string) (wait func()) {
 	b := f.take(name)
 	if b == nil {
-		return
+		return func() {}
 	}
 	f.push(b, &input.Leave{})
-	f.announce()
-	bound := time.NewTimer(exitBound)
-	defer bound.Stop()
-	select {
-	case <-b.done:
-	case <-bound.C:
+	f.Announce()
+	return func() {
+		bound := time.NewTimer(exitBound)
+		defer bound.Stop()
+		select {
+		case <-b.done:
+		case <-bound.C:
+		}
+		b.cancel()
+		<-b.done
 	}
-	b.cancel()
-	<-b.done
 }
 
 // take removes a balancer from the deployment without stopping it.
@@ -170,8 +173,9 @@
 	return b
 }
 
-// announce gives all balancers the list of the hosts that they reach.
-func (f *Fleet) announce() {
+// Announce gives all balancers the list of the hosts that they reach, as the
+// platform's host list would.
+func (f *Fleet) Announce() {
 	bs := f.list()
 	for _, b := range bs {
 		var hosts []model.Balancer
@@ -226,12 +230,12 @@
 // its own.
 func (f *Fleet) Partition(dataCentres ...string) {
 	f.net.cut(dataCentres)
-	f.announce()
+	f.Announce()
 }
 
 // Heal ends a partition.
 func (f *Fleet) Heal() {
 	f.net.cut(nil)
-	f.announce()
+	f.Announce()
 	f.Configure(f.Config())
 }
--- /dev/null
+++ b/io/emul/load/arrive.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretdock/core/model"
+	"egretdock/io/emul/cases"
+)
+
+// Arrival is one request or upload that a client begins at a planned time,
+// whatever became of earlier ones.
+type Arrival struct {
+	At       time.Duration
+	Customer cases.Customer
+	Class    model.Class
+	Work     cases.Work
+	// Payload is unique in the run.
+	Payload string
+}
+
+// Address returns the service address that the arrival is sent to.
+func (a Arrival) Address() netip.AddrPort {
+	return netip.AddrPortFrom(a.Customer.Address, a.Class.Port)
+}
+
+// MaxArrivals bounds one run.
+const MaxArrivals = 200_000
+
+// Arrivals returns the planned arrivals of a script in order of time. They
+// depend on nothing but the arguments.
+func Arrivals(c cases.Case, s Script, seed uint64) []Arrival {
+	var out []Arrival
+	for _, sv := range c.Services {
+		for _, w := range sv.Work {
+			users := c.Using(sv.Template.Name)
+			for _, u := range users {
+				r := rates{base: w.Rate / float64(len(users))}
+				if f, ok := s.Flood(w.Class); ok {
+					r.from, r.to = f.From, f.To
+					r.flood = f.Times * sv.Capacity(w) / float64(len(users))
+				}
+				out = append(out, stream(u, class(sv.Template, w.Class), w, r, s.Length, seed)...)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Arrival) int { return int(a.At - b.At) })
+	return out[:min(len(out), MaxArrivals)]
+}
+
+// rates are the arrivals per second outside and inside a flood.
+type rates struct {
+	base, flood float64
+	from, to    time.Duration
+}
+
+func (r rates) at(t time.Duration) float64 {
+	if r.flood > r.base && t >= r.from && t < r.to {
+		return r.flood
+	}
+	return r.base
+}
+
+// stream returns the arrivals of one customer and class: a Poisson process
+// thinned from its highest rate.
+func stream(u cases.Customer, c model.Class, w cases.Work, r rates, length time.Duration, seed uint64) []Arrival {
+	top := max(r.base, r.flood)
+	if top <= 0 || c.Kind == model.KindFeed {
+		return nil
+	}
+	rnd := rand.New(rand.NewPCG(seed, xxhash.Sum64String(u.Name+"/"+c.Name)))
+	var out []Arrival
+	for at := time.Duration(0); len(out) < MaxArrivals; {
+		at += time.Duration(rnd.ExpFloat64() / top * float64(time.Second))
+		if at >= length {
+			return out
+		}
+		if rnd.Float64()*top < r.at(at) {
+			out = append(out, Arrival{
+				At: at, Customer: u, Class: c, Work: w,
+				Payload: fmt.Sprintf("%s/%s/%d", u.Name, c.Name, len(out)),
+			})
+		}
+	}
+	return out
+}
+
+func class(t model.Template, name string) model.Class {
+	for _, c := range t.Classes {
+		if c.Name == name {
+			return c
+		}
+	}
+	return model.Class{}
+}
+
+func sortSteps(steps []Timed) {
+	slices.SortStableFunc(steps, func(a, b Timed) int { return int(a.At - b.At) })
+}
--- /dev/null
+++ b/io/emul/load/drive.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"egretdock/client"
+	"egretdock/core/model"
+	"egretdock/io/emul/audit"
+	"egretdock/io/emul/cases"
+	"egretdock/io/emul/upstr"
+)
+
+// maxWorkers bounds the calls in progress. An arrival that finds all workers
+// busy is skipped and counted, so that the load stays open-loop.
+const maxWorkers = 8192
+
+// drive begins the arrivals at their times and waits until all have ended.
+func (s *stage) drive(ctx context.Context, start time.Time, arrivals []Arrival) {
+	var pool errgroup.Group
+	pool.SetLimit(maxWorkers)
+	for i := range arrivals {
+		a := &arrivals[i]
+		due := start.Add(a.At)
+		if !wait(ctx, due) {
+			break
+		}
+		if !pool.TryGo(func() error { s.call(ctx, due, a); return nil }) {
+			s.rec.update(func(h *audit.History) { h.Skipped++ })
+		}
+	}
+	_ = pool.Wait()
+}
+
+// call does one arrival and records its outcome.
+func (s *stage) call(ctx context.Context, due time.Time, a *Arrival) {
+	ctx, cancel := context.WithTimeout(ctx, a.Work.Timeout)
+	defer cancel()
+	out := s.perform(ctx, a)
+	s.rec.call(audit.Call{
+		Customer: a.Customer.Name, Firm: a.Customer.Firm, Class: a.Class.Name, Kind: a.Class.Kind,
+		Idempotent: a.Class.Idempotent, Address: a.Address(), Payload: a.Payload,
+		Due: due, Ended: time.Now(), Outcome: out,
+	})
+	if _, ok := out.(audit.Answered); !ok {
+		s.line.outcome(a.Customer.Name, a.Payload, fmt.Sprintf("%T %+v", out, out))
+	}
+}
+
+func (s *stage) perform(ctx context.Context, a *Arrival) audit.Outcome {
+	c := s.clients[a.Customer.Name]
+	switch a.Class.Kind {
+	case model.KindUpload:
+		return s.upload(ctx, c, a)
+	case model.KindRequest, model.KindFeed:
+		got, err := c.Call(ctx, a.Address(), []byte(a.Payload))
+		return outcome(got, err, upstr.Answer([]byte(a.Payload), upstr.EmptyDigest(), a.Work.AnswerBytes))
+	}
+	return audit.Unknown{Cause: "class of no known kind"}
+}
+
+func outcome(got []byte, err error, want []byte) audit.Outcome {
+	var notRun *client.NotRunError
+	switch {
+	case err == nil:
+		return audit.Answered{Whole: bytes.Equal(got, want)}
+	case errors.As(err, &notRun):
+		return audit.NotRun{Reason: notRun.Reason}
+	default:
+		return audit.Unknown{Cause: err.Error()}
+	}
+}
+
+// upload sends the chunks of an upload and its final request.
+func (s *stage) upload(ctx context.Context, c *client.Client, a *Arrival) audit.Outcome {
+	f, err := c.Open(ctx, a.Address())
+	if err != nil {
+		return outcome(nil, err, nil)
+	}
+	defer f.Close()
+	rec := audit.Flow{ID: f.ID(), Customer: a.Customer.Name, Class: a.Class.Name, Address: a.Address(), Opened: time.Now()}
+	out := s.transfer(ctx, f, a, &rec)
+	s.rec.flow(rec)
+	return out
+}
+
+func (s *stage) transfer(ctx context.Context, f *client.Flow, a *Arrival, rec *audit.Flow) audit.Outcome {
+	digest := xxhash.New()
+	for i := range a.Work.Chunks {
+		b := chunk(a, i)
+		_, _ = digest.Write(b)
+		if err := f.Send(ctx, b); err != nil {
+			rec.Broken, rec.Reason = time.Now(), err.Error()
+			return audit.Broken{Reason: err.Error()}
+		}
+		if !wait(ctx, time.Now().Add(a.Work.ChunkEvery)) {
+			rec.Broken, rec.Reason = time.Now(), "no progress before the deadline"
+			return audit.Broken{Reason: rec.Reason}
+		}
+	}
+	got, err := f.Do(ctx, []byte(a.Payload))
+	var broken *client.BrokenError
+	if errors.As(err, &broken) {
+		rec.Broken, rec.Reason = time.Now(), broken.Error()
+	}
+	return outcome(got, err, upstr.Answer([]byte(a.Payload), digest.Sum64(), a.Work.AnswerBytes))
+}
+
+func chunk(a *Arrival, i int) []byte {
+	b := fmt.Appendf(make([]byte, 0, a.Work.ChunkBytes), "%s#%d ", a.Payload, i)
+	for len(b) < a.Work.ChunkBytes {
+		b = append(b, byte('a'+len(b)%26))
+	}
+	return b
+}
+
+// feeds holds the feeds of all classes open until ctx ends.
+func (s *stage) feeds(ctx context.Context) {
+	var g errgroup.Group
+	for _, sv := range s.c.Services {
+		for _, w := range sv.Work {
+			users := s.c.Using(sv.Template.Name)
+			for i := range w.Open {
+				u := users[i%len(users)]
+				cl := class(sv.Template, w.Class)
+				g.Go(func() error { s.feed(ctx, u, cl, w); return nil })
+			}
+		}
+	}
+	_ = g.Wait()
+}
+
+// reopenPause keeps a client whose feed is refused from asking at once again.
+const reopenPause = 200 * time.Millisecond
+
+// feed keeps one feed open and opens another when it breaks.
+func (s *stage) feed(ctx context.Context, u cases.Customer, cl model.Class, w cases.Work) {
+	c := s.clients[u.Name]
+	a := Arrival{Customer: u, Class: cl}
+	for ctx.Err() == nil {
+		open, cancel := context.WithTimeout(ctx, w.Timeout)
+		f, err := c.Open(open, a.Address())
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				s.line.outcome(u.Name, cl.Name, err.Error())
+			}
+			wait(ctx, time.Now().Add(reopenPause))
+			continue
+		}
+		rec := audit.Flow{ID: f.ID(), Customer: u.Name, Class: cl.Name, Address: a.Address(), Opened: time.Now()}
+		if err := s.receive(ctx, f, u.Name, cl.Name); err != nil {
+			rec.Broken, rec.Reason = time.Now(), err.Error()
+			s.line.outcome(u.Name, fmt.Sprintf("%s flow %x", cl.Name, f.ID()), rec.Reason)
+		}
+		s.rec.flow(rec)
+		f.Close()
+	}
+}
+
+// receive takes pushed messages until ctx ends, which gives nil, or the feed
+// breaks.
+func (s *stage) receive(ctx context.Context, f *client.Flow, customer, class string) error {
+	for {
+		if _, err := f.Receive(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		s.rec.push(customer, class)
+	}
+}
--- /dev/null
+++ b/io/emul/load/record.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"egretdock/io/emul/audit"
+	"egretdock/io/emul/upstr"
+)
+
+// record is the shared table that the workers write the history to.
+type record struct {
+	mu sync.Mutex
+	h  audit.History
+	// pushes are keyed by customer, class and tenth of a second.
+	pushes map[pushKey]int
+}
+
+type pushKey struct {
+	customer, class string
+	at              time.Time
+}
+
+func newRecord() *record {
+	return &record{h: audit.History{Upstreams: make(map[string]string)}, pushes: make(map[pushKey]int)}
+}
+
+// update runs fn on the history under the lock.
+func (r *record) update(fn func(*audit.History)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn(&r.h)
+}
+
+func (r *record) call(c audit.Call) {
+	r.update(func(h *audit.History) { h.Calls = append(h.Calls, c) })
+}
+
+func (r *record) flow(f audit.Flow) {
+	r.update(func(h *audit.History) { h.Flows = append(h.Flows, f) })
+}
+
+func (r *record) fault(f audit.Fault) {
+	r.update(func(h *audit.History) { h.Faults = append(h.Faults, f) })
+}
+
+func (r *record) push(customer, class string) {
+	k := pushKey{customer, class, time.Now().Truncate(100 * time.Millisecond)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pushes[k]++
+}
+
+// amend replaces the last fault that match accepts.
+func (r *record) amend(match func(audit.Fault) (audit.Fault, bool)) {
+	r.update(func(h *audit.History) {
+		for i := len(h.Faults) - 1; i >= 0; i-- {
+			if f, ok := match(h.Faults[i]); ok {
+				h.Faults[i] = f
+				return
+			}
+		}
+	})
+}
+
+// history returns a copy that later records do not change, with what the
+// upstreams ran.
+func (r *record) history(j *upstr.Journal) *audit.History {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.h
+	h.Calls, h.Flows = slices.Clone(h.Calls), slices.Clone(h.Flows)
+	h.Faults, h.InForce = slices.Clone(h.Faults), slices.Clone(h.InForce)
+	for k, n := range r.pushes {
+		h.Pushes = append(h.Pushes, audit.Push{Customer: k.customer, Class: k.class, At: k.at, Count: n})
+	}
+	h.Runs, h.Accepts, h.Misrouted = j.Runs(), j.Accepts(), j.Misrouted()
+	return &h
+}
--- /dev/null
+++ b/io/emul/load/report.go
@@ -0,0 +1,228 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"egretdock/io/emul/audit"
+	"egretdock/io/emul/cases"
+)
+
+// Report is the result of one run, in the units that the names say.
+type Report struct {
+	Example  string  `json:"example"`
+	Scenario string  `json:"scenario"`
+	Policy   string  `json:"policy"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+
+	FlowsOpened int `json:"flows_opened"`
+	FlowsBroken int `json:"flows_broken"`
+	// FlowsBrokenByChange leaves out those that were lost with their upstream or
+	// in a partition.
+	FlowsBrokenByChange int `json:"flows_broken_by_change"`
+	Misrouted           int `json:"misrouted"`
+	RanTwice            int `json:"ran_twice"`
+	FalseNotRun         int `json:"false_not_run"`
+	WrongAnswers        int `json:"wrong_answers"`
+
+	// Imbalance is that of the first service.
+	ImbalanceMaxOverMean   float64 `json:"imbalance_max_over_mean"`
+	ImbalanceVariation     float64 `json:"imbalance_coefficient_of_variation"`
+	ImbalanceWindowSeconds float64 `json:"imbalance_window_seconds"`
+
+	KeptShare map[string]float64 `json:"kept_share,omitempty"`
+	// FloodOverCapacity is the flooded classes' goodput over the capacity of
+	// their upstreams.
+	FloodOverCapacity map[string]float64 `json:"flood_goodput_over_capacity,omitempty"`
+	JainCustomers     map[string]float64 `json:"jain_customers"`
+
+	EditInForceSeconds     *Quantiles `json:"edit_in_force_seconds,omitempty"`
+	DrainLastNewWorkSecond *float64   `json:"drain_last_new_work_seconds,omitempty"`
+
+	LatencyMS map[string]Quantiles `json:"latency_ms"`
+	// Outcomes counts calls by class and outcome.
+	Outcomes map[string]map[string]int `json:"outcomes"`
+	// Skipped counts arrivals that the load generator could not begin; above 0
+	// the offered load was lower than planned.
+	Skipped int `json:"arrivals_skipped"`
+
+	Invariants []Invariant `json:"invariants"`
+	// NotMeasured names the measures that this version cannot take.
+	NotMeasured []string `json:"not_measured"`
+}
+
+// Quantiles of a distribution.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Invariant is one verdict.
+type Invariant struct {
+	ID      string `json:"id"`
+	Verdict string `json:"verdict"`
+	// Findings are the first ones; Found counts all.
+	Findings []string `json:"findings,omitempty"`
+	Found    int      `json:"found,omitempty"`
+}
+
+// Broken reports whether an invariant broke.
+func (r Report) Broken() bool {
+	for _, i := range r.Invariants {
+		if i.Verdict == (audit.Fail{}).String() {
+			return true
+		}
+	}
+	return false
+}
+
+// Summarize computes the report of a run.
+func Summarize(cfg Config, h *audit.History) Report {
+	desk := cfg.Case.Services[0].Template.Name
+	im := audit.ImbalanceOf(h, desk, h.Start.Add(warmUp), h.End)
+	r := Report{
+		Example: cfg.Case.Name, Scenario: cfg.Script.Name, Policy: cfg.Policy.String(), Seed: cfg.Seed,
+		Seconds:     cfg.Script.Length.Seconds(),
+		FlowsOpened: audit.Opened(h), FlowsBroken: audit.FlowsBroken(h), FlowsBrokenByChange: audit.FlowsBrokenByChange(h),
+		Misrouted: h.Misrouted, RanTwice: audit.RanTwice(h), FalseNotRun: audit.FalseNotRun(h), WrongAnswers: audit.WrongAnswers(h),
+		ImbalanceMaxOverMean: im.MaxOverMean, ImbalanceVariation: im.Variation, ImbalanceWindowSeconds: im.Window.Seconds(),
+		KeptShare:         audit.KeptShare(h, classes(cfg.Case)),
+		FloodOverCapacity: overCapacity(cfg, h),
+		JainCustomers:     fairness(cfg.Case, h),
+		LatencyMS:         latencies(h),
+		Outcomes:          outcomes(h),
+		Skipped:           h.Skipped,
+		Invariants:        invariants(h),
+		NotMeasured:       []string{"control_bytes_per_second", "platform_calls_per_second"},
+	}
+	r.EditInForceSeconds = spread(h)
+	if d, ok := audit.DrainLastNewWork(h); ok {
+		s := d.Seconds()
+		r.DrainLastNewWorkSecond = &s
+	}
+	return r
+}
+
+func classes(c cases.Case) []string {
+	var out []string
+	for _, s := range c.Services {
+		for _, w := range s.Work {
+			out = append(out, w.Class)
+		}
+	}
+	return out
+}
+
+// overCapacity returns the goodput of each flooded class over its capacity.
+func overCapacity(cfg Config, h *audit.History) map[string]float64 {
+	out := make(map[string]float64)
+	for _, s := range cfg.Case.Services {
+		for _, w := range s.Work {
+			if f, ok := cfg.Script.Flood(w.Class); ok {
+				out[w.Class] = audit.Goodput(h, w.Class, "", h.Start.Add(f.From), h.Start.Add(f.To)) / s.Capacity(w)
+			}
+		}
+	}
+	return out
+}
+
+// fairness returns Jain's index of each class.
+func fairness(c cases.Case, h *audit.History) map[string]float64 {
+	out := make(map[string]float64)
+	for _, s := range c.Services {
+		var names []string
+		for _, u := range c.Using(s.Template.Name) {
+			names = append(names, u.Name)
+		}
+		for _, w := range s.Work {
+			out[w.Class] = audit.Jain(h, w.Class, names)
+		}
+	}
+	return out
+}
+
+// Histograms take microseconds up to a minute with three digits.
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, time.Minute.Microseconds(), 3) }
+
+func quantiles(h *hdrhistogram.Histogram, unit time.Duration) Quantiles {
+	at := func(us int64) float64 { return float64(us) / float64(unit.Microseconds()) }
+	return Quantiles{P50: at(h.ValueAtQuantile(50)), P99: at(h.ValueAtQuantile(99)), Max: at(h.Max())}
+}
+
+// latencies are counted from the planned arrival, so that a late start of the
+// generator is not hidden.
+func latencies(h *audit.History) map[string]Quantiles {
+	hs := make(map[string]*hdrhistogram.Histogram)
+	for _, c := range h.Calls {
+		if _, ok := c.Outcome.(audit.Answered); !ok {
+			continue
+		}
+		if hs[c.Class] == nil {
+			hs[c.Class] = histogram()
+		}
+		_ = hs[c.Class].RecordValue(max(1, min(c.Ended.Sub(c.Due), time.Minute).Microseconds()))
+	}
+	out := make(map[string]Quantiles, len(hs))
+	for class, hist := range hs {
+		out[class] = quantiles(hist, time.Millisecond)
+	}
+	return out
+}
+
+func spread(h *audit.History) *Quantiles {
+	hist := histogram()
+	for _, d := range audit.Spread(h) {
+		if !d.Missing {
+			_ = hist.RecordValue(max(1, min(d.Took, time.Minute).Microseconds()))
+		}
+	}
+	if hist.TotalCount() == 0 {
+		return nil
+	}
+	q := quantiles(hist, time.Second)
+	return &q
+}
+
+func outcomes(h *audit.History) map[string]map[string]int {
+	out := make(map[string]map[string]int)
+	for _, c := range h.Calls {
+		if out[c.Class] == nil {
+			out[c.Class] = make(map[string]int)
+		}
+		out[c.Class][name(c.Outcome)]++
+	}
+	return out
+}
+
+func name(o audit.Outcome) string {
+	switch o := o.(type) {
+	case audit.Answered:
+		return "answered"
+	case audit.NotRun:
+		return "not_run_" + o.Reason.String()
+	case audit.Unknown:
+		return "unknown"
+	case audit.Broken:
+		return "broken"
+	}
+	return "invalid"
+}
+
+// maxFindings bounds the findings of one invariant in a report.
+const maxFindings = 5
+
+func invariants(h *audit.History) []Invariant {
+	var out []Invariant
+	for _, i := range audit.Check(h) {
+		inv := Invariant{ID: i.ID, Verdict: i.Verdict.String()}
+		if f, ok := i.Verdict.(audit.Fail); ok {
+			inv.Found = len(f.Findings)
+			inv.Findings = f.Findings[:min(len(f.Findings), maxFindings)]
+		}
+		out = append(out, inv)
+	}
+	return out
+}
--- /dev/null
+++ b/io/emul/load/script.go
@@ -0,0 +1,244 @@
+// Package load runs an example deployment under load, does to it what a
+// scenario says, and reports the measures and the invariants.
+package load
+
+import (
+	"time"
+
+	"egretdock/core/fault"
+	"egretdock/io/emul/cases"
+)
+
+// Step is one thing that a script does to the deployment.
+//
+//sumtype:decl
+type Step interface{ step() }
+
+// Edit changes a class of a template.
+type Edit struct{ Service string }
+
+// Drain makes an upstream refuse new flows; Undrain ends it. Index counts the
+// service's upstreams from 1.
+type Drain struct {
+	Service string
+	Index   int
+}
+
+// Undrain lets a drained upstream take work again.
+type Undrain struct {
+	Service string
+	Index   int
+}
+
+// Replace adds a new upstream in place of another, which drains.
+type Replace struct {
+	Service string
+	Index   int
+}
+
+// Restart makes an upstream forget its flows.
+type Restart struct {
+	Service string
+	Index   int
+}
+
+// Shed makes an upstream refuse one of so many requests that find no slot; 0
+// ends it.
+type Shed struct {
+	Service string
+	Index   int
+	OneOf   int
+}
+
+// Lie makes an upstream report that it is idle.
+type Lie struct {
+	Service string
+	Index   int
+	On      bool
+}
+
+// Kill stops a balancer without notice.
+type Kill struct{ Balancer string }
+
+// Retire asks a balancer to leave.
+type Retire struct{ Balancer string }
+
+// Add starts a balancer in a data centre.
+type Add struct{ Balancer, DataCentre string }
+
+// Notice brings the host list and the fabric up to date after Kill.
+type Notice struct{}
+
+// Cut cuts data centres off from the others.
+type Cut struct{ DataCentres []string }
+
+// Heal ends Cut.
+type Heal struct{}
+
+func (Edit) step()    {}
+func (Drain) step()   {}
+func (Undrain) step() {}
+func (Replace) step() {}
+func (Restart) step() {}
+func (Shed) step()    {}
+func (Lie) step()     {}
+func (Kill) step()    {}
+func (Retire) step()  {}
+func (Add) step()     {}
+func (Notice) step()  {}
+func (Cut) step()     {}
+func (Heal) step()    {}
+
+// Timed is a step with its time from the start of the load.
+type Timed struct {
+	At   time.Duration
+	Step Step
+}
+
+// Flood raises the rate of one class for a time.
+type Flood struct {
+	Class string
+	// Times is the flood's rate over the capacity of the class's upstreams.
+	Times    float64
+	From, To time.Duration
+}
+
+// Script is a workload with steps. It is immutable.
+type Script struct {
+	Name   string
+	Length time.Duration
+	// Steps are in order of time.
+	Steps []Timed
+	// Floods hold at most one entry for each class.
+	Floods []Flood
+}
+
+// With returns a copy with a step added at the end.
+func (s Script) With(at time.Duration, step Step) Script {
+	s.Steps = append(s.Steps[:len(s.Steps):len(s.Steps)], Timed{At: at, Step: step})
+	return s
+}
+
+// WithFlood returns a copy with a flood.
+func (s Script) WithFlood(f Flood) Script {
+	s.Floods = append(s.Floods[:len(s.Floods):len(s.Floods)], f)
+	return s
+}
+
+// Flood returns the flood of a class.
+func (s Script) Flood(class string) (Flood, bool) {
+	for _, f := range s.Floods {
+		if f.Class == class {
+			return f, true
+		}
+	}
+	return Flood{}, false
+}
+
+// Scenarios returns the names of the scenarios.
+func Scenarios() []string {
+	return []string{
+		"steady", "drain", "rolling_change", "balancer_loss", "flood_low", "flood_high",
+		"partition", "upstream_restart", "shedding", "lying_load", "everything", "demo",
+	}
+}
+
+// suspicion is the time after which the fabric and the host list know that a
+// balancer is gone.
+const suspicion = 3 * time.Second
+
+// floodTimes is the rate of a flood over the capacity of its upstreams. It is
+// bounded by the processor time that one machine has for a whole fleet.
+const floodTimes = 3
+
+// Scenario returns the script of a named scenario over a time of at least 10 s.
+// Times inside it are shares of the length, so that a longer run does the same
+// more slowly.
+//
+// platform_outage and operators_race belong here once the deployment reads its
+// configuration from the platform stand-in.
+func Scenario(name string, c cases.Case, length time.Duration) (Script, error) {
+	if length < 10*time.Second {
+		return Script{}, fault.New(fault.KindInvalid, "a run of "+length.String()+" is too short", "run for at least 10s")
+	}
+	m := maker{c: c, desk: c.Services[0].Template.Name, intake: c.Services[1].Template.Name, s: Script{Name: name, Length: length}}
+	switch name {
+	case "steady":
+	case "drain":
+		m.at(0.2, Drain{m.desk, 1}).at(0.25, Drain{m.intake, 1})
+	case "rolling_change":
+		m.roll()
+	case "balancer_loss":
+		m.lose(0.2, "b01").lose(0.6, "b06").at(0.4, Retire{"b11"})
+	case "flood_low":
+		m.flood(c.Services[1].Work[0].Class)
+	case "flood_high":
+		m.flood(c.Services[0].Work[0].Class)
+	case "partition":
+		m.at(0.3, Cut{c.DataCentres[:1]}).at(0.4, Edit{m.desk}).at(0.6, Heal{})
+	case "upstream_restart":
+		m.at(0.3, Restart{m.desk, 2}).at(0.5, Restart{m.intake, 2})
+	case "shedding":
+		m.at(0.3, Shed{m.desk, 3, 2}).at(0.7, Shed{m.desk, 3, 0})
+	case "lying_load":
+		m.at(0.3, Lie{m.desk, 4, true}).at(0.7, Lie{m.desk, 4, false})
+	case "everything":
+		m.everything()
+	case "demo":
+		m.demo()
+	default:
+		return Script{}, fault.New(fault.KindNotFound, "no scenario "+name, "see the names with: egretdock help load")
+	}
+	return m.s, nil
+}
+
+// maker builds a script.
+type maker struct {
+	c            cases.Case
+	desk, intake string
+	s            Script
+}
+
+func (m *maker) share(x float64) time.Duration { return time.Duration(x * float64(m.s.Length)) }
+
+func (m *maker) at(x float64, step Step) *maker {
+	m.s = m.s.With(m.share(x), step)
+	return m
+}
+
+// lose kills a balancer, and replaces it once its loss is known.
+func (m *maker) lose(x float64, name string) *maker {
+	at := m.share(x)
+	m.s = m.s.With(at, Kill{name}).With(at+suspicion, Notice{}).With(at+suspicion, Add{name + "r", m.c.DataCentres[0]})
+	return m
+}
+
+func (m *maker) flood(class string) *maker {
+	m.s = m.s.WithFlood(Flood{Class: class, Times: floodTimes, From: m.share(0.4), To: m.share(0.8)})
+	return m
+}
+
+// roll replaces all upstreams of the first service one after another.
+func (m *maker) roll() {
+	n := m.c.Services[0].Upstreams
+	for i := range n {
+		m.at(0.1+0.6*float64(i)/float64(n), Replace{m.desk, i + 1})
+	}
+	m.at(0.8, Edit{m.intake})
+}
+
+// everything does all of it at once, as far as one deployment allows.
+func (m *maker) everything() {
+	m.at(0.1, Drain{m.desk, 1}).at(0.12, Edit{m.desk}).lose(0.15, "b01")
+	m.at(0.3, Shed{m.desk, 3, 2}).at(0.3, Lie{m.desk, 4, true}).at(0.35, Replace{m.desk, 5})
+	m.at(0.4, Restart{m.desk, 2}).flood(m.c.Services[1].Work[0].Class).flood(m.c.Services[0].Work[0].Class)
+	m.at(0.5, Cut{m.c.DataCentres[:1]}).at(0.55, Edit{m.intake}).at(0.6, Replace{m.intake, 1})
+	m.at(0.65, Heal{}).lose(0.7, "b06").at(0.9, Edit{m.desk})
+	sortSteps(m.s.Steps)
+}
+
+// demo is short: an edit, a drain, a lost balancer and a flood.
+func (m *maker) demo() {
+	m.at(0.1, Edit{m.desk}).at(0.15, Drain{m.desk, 1}).lose(0.2, "b01").at(0.45, Retire{"b02"})
+	m.s = m.s.WithFlood(Flood{Class: m.c.Services[0].Work[0].Class, Times: floodTimes, From: m.share(0.65), To: m.share(0.95)})
+}
--- /dev/null
+++ b/io/subcmd/call.go
@@ -0,0 +1,152 @@
+package subcmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"egretdock/client"
+	"egretdock/core/fault"
+)
+
+// Call does one piece of work as a client.
+type Call struct {
+	balancers, address, kind, payload string
+	timeout                           time.Duration
+	count                             int
+}
+
+// Name implements subcommands.Command.
+func (*Call) Name() string { return "call" }
+
+// Synopsis implements subcommands.Command.
+func (*Call) Synopsis() string { return "do one request, feed or upload as a client" }
+
+// Usage implements subcommands.Command.
+func (*Call) Usage() string {
+	return `call -balancers HOST:PORT,... -address IP:PORT [-kind request|feed|upload] [-payload TEXT]
+
+Opens a flow to a service address through the balancers. A request prints its
+answer in hexadecimal; a feed prints -count messages; an upload sends -count
+chunks of the payload and then the payload as its final request.
+
+Exit codes: 0 done; 1 failed; 2 wrong usage; 3 refused and not run;
+4 outcome unknown.
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Call) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.balancers, "balancers", "", "addresses of balancers, separated by commas")
+	f.StringVar(&c.address, "address", "", "service address of the customer, with the port of the class")
+	f.StringVar(&c.kind, "kind", "request", "kind of the class")
+	f.StringVar(&c.payload, "payload", "hello", "payload of the request")
+	f.DurationVar(&c.timeout, "timeout", 5*time.Second, "time after which the call is given up")
+	f.IntVar(&c.count, "count", 3, "messages of a feed or chunks of an upload")
+}
+
+// Execute implements subcommands.Command.
+func (c *Call) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cl, address, err := c.dial()
+	if err != nil {
+		return report(err)
+	}
+	defer func() { _ = cl.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := c.do(ctx, cl, address); err != nil {
+		return reportCall(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Call) dial() (*client.Client, netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(c.address)
+	if err != nil {
+		return nil, address, fault.Wrap(err, fault.KindInvalid, "no service address", "give -address IP:PORT")
+	}
+	balancers, err := parseAddrs(c.balancers)
+	if err != nil {
+		return nil, address, err
+	}
+	seed := uint64(time.Now().UnixNano())
+	link, err := client.DialUDP(balancers, seed)
+	if err != nil {
+		return nil, address, err
+	}
+	return client.New(link, client.Options{Seed: seed}), address, nil
+}
+
+func parseAddrs(s string) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for _, part := range strings.FieldsFunc(s, func(r rune) bool { return r == ',' }) {
+		a, err := netip.ParseAddrPort(part)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.KindInvalid, "wrong address "+part, "give IP:PORT")
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func (c *Call) do(ctx context.Context, cl *client.Client, address netip.AddrPort) error {
+	f, err := cl.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	switch c.kind {
+	case "feed":
+		return c.receive(ctx, f)
+	case "upload":
+		for range c.count {
+			if err := f.Send(ctx, []byte(c.payload)); err != nil {
+				return err
+			}
+		}
+		fallthrough
+	case "request":
+		answer, err := f.Do(ctx, []byte(c.payload))
+		if err == nil {
+			fmt.Printf("%x\n", answer)
+		}
+		return err
+	default:
+		return fault.New(fault.KindInvalid, "no kind "+c.kind, "choose request, feed or upload")
+	}
+}
+
+func (c *Call) receive(ctx context.Context, f *client.Flow) error {
+	for range c.count {
+		b, err := f.Receive(ctx)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s\n", b)
+	}
+	return nil
+}
+
+// reportCall prints the outcome of a call that did not succeed.
+func reportCall(err error) subcommands.ExitStatus {
+	var notRun *client.NotRunError
+	var unknown *client.UnknownError
+	switch {
+	case errors.As(err, &notRun):
+		fmt.Fprintln(os.Stderr, "egretdock:", err)
+		return ExitNotRun
+	case errors.As(err, &unknown):
+		fmt.Fprintln(os.Stderr, "egretdock:", err)
+		return ExitUnknown
+	default:
+		return report(err)
+	}
+}
--- /dev/null
+++ b/io/subcmd/demo.go
@@ -0,0 +1,97 @@
+package subcmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"egretdock/core/fault"
+	"egretdock/io/emul/cases"
+	"egretdock/io/emul/load"
+)
+
+// Demo shows the whole system at work in under half a minute.
+type Demo struct {
+	example string
+	seed    uint64
+}
+
+// demoLength leaves 10 s before the flood for the window of imbalance, and
+// keeps the demo with start and end under 30 s.
+const demoLength = 20 * time.Second
+
+// Name implements subcommands.Command.
+func (*Demo) Name() string { return "demo" }
+
+// Synopsis implements subcommands.Command.
+func (*Demo) Synopsis() string { return "run a short tour of an example deployment" }
+
+// Usage implements subcommands.Command.
+func (*Demo) Usage() string {
+	return `demo [-example casablanca|lagos] [-seed N]
+
+Starts the deployment in this process, applies an edit, drains an upstream,
+kills and replaces a balancer, retires another, floods the most urgent class,
+and prints the measures and the invariants. It needs no setup and takes less
+than 30 seconds.
+
+Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage;
+5 an invariant broke.
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (d *Demo) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&d.example, "example", "casablanca", "example deployment")
+	f.Uint64Var(&d.seed, "seed", 1, "seed of arrivals and upstreams")
+}
+
+// Execute implements subcommands.Command.
+func (d *Demo) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c, err := cases.Find(d.example)
+	if err != nil {
+		return report(err)
+	}
+	script, err := load.Scenario("demo", c, demoLength)
+	if err != nil {
+		return report(err)
+	}
+	line, err := os.CreateTemp("", "egretdock-demo-*.log")
+	if err != nil {
+		return report(fault.Wrap(err, fault.KindUnavailable, "cannot write the time line", "set TMPDIR to a writable directory"))
+	}
+	defer func() { _ = line.Close() }()
+	introduce(c, script)
+	cfg := load.Config{Case: c, Script: script, Policy: load.Egretdock{}, Seed: d.seed, Timeline: line, Progress: func(t time.Duration) {
+		fmt.Printf("  %s of %s\n", t.Round(time.Second), script.Length)
+	}}
+	h, err := load.Run(ctx, cfg)
+	if err != nil {
+		return report(err)
+	}
+	r := load.Summarize(cfg, h)
+	printReport(os.Stdout, r)
+	fmt.Printf("time line: %s\n", line.Name())
+	if r.Broken() {
+		return ExitInvariant
+	}
+	return subcommands.ExitSuccess
+}
+
+func introduce(c cases.Case, s load.Script) {
+	fmt.Printf("%s: %d balancers in %d data centres, %d customers\n", c.Name, c.Balancers, len(c.DataCentres), len(c.Customers))
+	for _, sv := range c.Services {
+		fmt.Printf("  service %s: %d upstreams with %d slots\n", sv.Template.Name, sv.Upstreams, sv.Slots)
+	}
+	for _, t := range s.Steps {
+		fmt.Printf("  at %4.1f s: %T %+v\n", t.At.Seconds(), t.Step, t.Step)
+	}
+	for _, f := range s.Floods {
+		fmt.Printf("  from %.1f s to %.1f s: flood of %s at %.0f times its capacity\n", f.From.Seconds(), f.To.Seconds(), f.Class, f.Times)
+	}
+}
--- /dev/null
+++ b/io/subcmd/load.go
@@ -0,0 +1,147 @@
+package subcmd
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"egretdock/core/fault"
+	"egretdock/io/emul/cases"
+	"egretdock/io/emul/fabric"
+	"egretdock/io/emul/load"
+)
+
+// Load runs a scenario on an example deployment in this process.
+type Load struct {
+	example, scenario, policies string
+	seed                        uint64
+	length, delay               time.Duration
+	drop                        float64
+	noToken, asJSON             bool
+	timeline                    string
+}
+
+// Name implements subcommands.Command.
+func (*Load) Name() string { return "load" }
+
+// Synopsis implements subcommands.Command.
+func (*Load) Synopsis() string { return "run a scenario under load and report measures and invariants" }
+
+// Usage implements subcommands.Command.
+func (*Load) Usage() string {
+	return `load [-example casablanca|lagos] [-scenario NAME] [-policy P1,P2] [-seed N] [-for 20s] [-json]
+
+Runs balancers, stand-in upstreams and clients in this process on loopback, and
+reports the measures and a verdict on each invariant. With several policies,
+each runs the same arrivals, and the ratios to the first are printed.
+Scenarios: ` + strings.Join(load.Scenarios(), ", ") + `.
+Policies: ` + strings.Join(load.Policies(), ", ") + `.
+
+Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage;
+5 an invariant broke under the first policy.
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (l *Load) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&l.example, "example", "casablanca", "example deployment")
+	f.StringVar(&l.scenario, "scenario", "steady", "what is done to the deployment")
+	f.StringVar(&l.policies, "policy", "egretdock", "policies to run, separated by commas")
+	f.Uint64Var(&l.seed, "seed", 1, "seed of arrivals, upstreams and network faults")
+	f.DurationVar(&l.length, "for", 20*time.Second, "length of the load, at least 10s")
+	f.DurationVar(&l.delay, "delay", 0, "one-way delay between clients and balancers; the examples state 3ms and 1ms")
+	f.Float64Var(&l.drop, "drop", 0, "share of datagrams lost between clients and balancers, 0 to 1")
+	f.BoolVar(&l.noToken, "no-token", false, "clients echo no route token")
+	f.BoolVar(&l.asJSON, "json", false, "print one JSON object per policy")
+	f.StringVar(&l.timeline, "timeline", "", "file for the events of the run; empty writes none")
+}
+
+// Execute implements subcommands.Command.
+func (l *Load) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cfgs, err := l.configs()
+	if err != nil {
+		return report(err)
+	}
+	out, closeFile, err := create(l.timeline)
+	if err != nil {
+		return report(err)
+	}
+	defer closeFile()
+	var reports []load.Report
+	for _, cfg := range cfgs {
+		cfg.Timeline = out
+		cfg.Progress = func(d time.Duration) {
+			fmt.Fprintf(os.Stderr, "%s %s: %s of %s\n", cfg.Script.Name, cfg.Policy, d.Round(time.Second), l.length)
+		}
+		h, err := load.Run(ctx, cfg)
+		if err != nil {
+			return report(err)
+		}
+		r := load.Summarize(cfg, h)
+		l.print(r)
+		reports = append(reports, r)
+	}
+	for _, r := range reports[1:] {
+		printRatios(os.Stderr, reports[0], r)
+	}
+	if reports[0].Broken() {
+		return ExitInvariant
+	}
+	return subcommands.ExitSuccess
+}
+
+func (l *Load) print(r load.Report) {
+	if !l.asJSON {
+		printReport(os.Stdout, r)
+		return
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(r)
+}
+
+func (l *Load) configs() ([]load.Config, error) {
+	c, err := cases.Find(l.example)
+	if err != nil {
+		return nil, err
+	}
+	script, err := load.Scenario(l.scenario, c, l.length)
+	if err != nil {
+		return nil, err
+	}
+	cfg := load.Config{Case: c, Script: script, Seed: l.seed, NoToken: l.noToken}
+	if l.delay > 0 {
+		cfg.Faults = append(cfg.Faults, fabric.Delay{Base: l.delay})
+	}
+	if l.drop > 0 {
+		cfg.Faults = append(cfg.Faults, fabric.Drop{Share: l.drop})
+	}
+	var out []load.Config
+	for _, name := range strings.Split(l.policies, ",") {
+		p, err := load.ParsePolicy(name)
+		if err != nil {
+			return nil, err
+		}
+		cfg.Policy = p
+		out = append(out, cfg)
+	}
+	return out, nil
+}
+
+// report prints an error and returns its exit code.
+func report(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "egretdock:", err)
+	switch fault.KindOf(err) {
+	case fault.KindInvalid, fault.KindNotFound:
+		return subcommands.ExitUsageError
+	default:
+		return subcommands.ExitFailure
+	}
+}
