Measure offered load and change balancers and upstreams together

Goodput over capacity leaves out draining upstreams. Kept share is shown with the offered share, since arrivals are random.

--- a/io/emul/audit/history.go
+++ b/io/emul/audit/history.go
@@ -66,10 +66,15 @@
 // request was sent.
 type Broken struct{ Reason string }
 
+// GaveUp means that the client's deadline passed before it had sent the final
+// request of an upload; nothing ran.
+type GaveUp struct{}
+
 func (Answered) outcome() {}
 func (NotRun) outcome()   {}
 func (Unknown) outcome()  {}
 func (Broken) outcome()   {}
+func (GaveUp) outcome()   {}
 
 // Flow is one established feed or upload.
 type Flow struct {
--- a/io/emul/audit/measure.go
+++ b/io/emul/audit/measure.go
@@ -198,6 +198,48 @@
 	return out
 }
 
+// OfferedShare returns the offered calls per second of each class in the flood
+// over those in the steady part, or nil when the run has no flood.
+func OfferedShare(h *History, classes []string) map[string]float64 {
+	steady, flood := phase(h, PhaseSteady), phase(h, PhaseFlood)
+	if steady == nil || flood == nil {
+		return nil
+	}
+	out := make(map[string]float64)
+	for _, c := range classes {
+		if base := offered(h, c, steady); base > 0 {
+			out[c] = offered(h, c, flood) / base
+		}
+	}
+	return out
+}
+
+func offered(h *History, class string, p *Phase) float64 {
+	n := 0
+	for _, c := range h.Calls {
+		if c.Class == class && within(c.Due, p.From, p.To) {
+			n++
+		}
+	}
+	return float64(n) / p.To.Sub(p.From).Seconds()
+}
+
+// Serving counts the upstreams of a service that are not draining at a time.
+func Serving(h *History, service string, at time.Time) int {
+	n := 0
+	for _, s := range h.Upstreams {
+		if s == service {
+			n++
+		}
+	}
+	for _, d := range faults[Drained](h) {
+		if h.Upstreams[d.Upstream] == service && !d.At.After(at) && (d.Until.IsZero() || d.Until.After(at)) {
+			n--
+		}
+	}
+	return n
+}
+
 // phase returns the first phase of a name, or nil.
 func phase(h *History, name PhaseName) *Phase {
 	for i := range h.Phases {
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -225,9 +225,8 @@
 
 // Partition cuts data centres off from the others and from configuration.
 // Packets between balancers and upstreams of the two sides are dropped, and the
-// balancers of each side lose sight of the other. The health endpoints of
-// upstreams stay reachable, since the daemon's HTTP client has no address of
-// its own.
+// balancers of each side lose sight of the other. Health endpoints are cut off
+// only from callers whose source address tells their data centre.
 func (f *Fleet) Partition(dataCentres ...string) {
 	f.net.cut(dataCentres)
 	f.Announce()
--- a/io/emul/fleet/switch.go
+++ b/io/emul/fleet/switch.go
@@ -59,10 +59,11 @@
 }
 
 // isCut reports whether the network drops what passes between two processes.
+// An address of no data centre is not cut off from any.
 func (n *network) isCut(a, b netip.Addr) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.away[side(a)] != n.away[side(b)]
+	return side(a) != 0 && side(b) != 0 && n.away[side(a)] != n.away[side(b)]
 }
 
 func side(a netip.Addr) byte {
--- a/io/emul/load/drive.go
+++ b/io/emul/load/drive.go
@@ -90,18 +90,26 @@
 	return out
 }
 
+// stallTime is the time without an acknowledgement after which an upload counts
+// as broken. It covers two of the client's longest retransmission intervals; an
+// upload whose deadline passes sooner was only slow.
+const stallTime = 1250 * time.Millisecond
+
 func (s *stage) transfer(ctx context.Context, f *client.Flow, a *Arrival, rec *audit.Flow) audit.Outcome {
 	digest := xxhash.New()
 	for i := range a.Work.Chunks {
 		b := chunk(a, i)
 		_, _ = digest.Write(b)
+		began := time.Now()
 		if err := f.Send(ctx, b); err != nil {
+			if ctx.Err() != nil && time.Since(began) < stallTime {
+				return audit.GaveUp{}
+			}
 			rec.Broken, rec.Reason = time.Now(), err.Error()
 			return audit.Broken{Reason: err.Error()}
 		}
 		if !wait(ctx, time.Now().Add(a.Work.ChunkEvery)) {
-			rec.Broken, rec.Reason = time.Now(), "no progress before the deadline"
-			return audit.Broken{Reason: rec.Reason}
+			return audit.GaveUp{}
 		}
 	}
 	got, err := f.Do(ctx, []byte(a.Payload))
--- a/io/emul/load/report.go
+++ b/io/emul/load/report.go
@@ -33,8 +33,11 @@
 	ImbalanceWindowSeconds float64 `json:"imbalance_window_seconds"`
 
 	KeptShare map[string]float64 `json:"kept_share,omitempty"`
+	// OfferedShare is the offered load of each class in the flood over that in
+	// the steady phase. Arrivals are random, so KeptShare varies with it.
+	OfferedShare map[string]float64 `json:"offered_share,omitempty"`
 	// FloodOverCapacity is the flooded classes' goodput over the capacity of
-	// their upstreams.
+	// their upstreams that were not draining.
 	FloodOverCapacity map[string]float64 `json:"flood_goodput_over_capacity,omitempty"`
 	JainCustomers     map[string]float64 `json:"jain_customers"`
 
@@ -90,6 +93,7 @@
 		Misrouted: h.Misrouted, RanTwice: audit.RanTwice(h), FalseNotRun: audit.FalseNotRun(h), WrongAnswers: audit.WrongAnswers(h),
 		ImbalanceMaxOverMean: im.MaxOverMean, ImbalanceVariation: im.Variation, ImbalanceWindowSeconds: im.Window.Seconds(),
 		KeptShare:         audit.KeptShare(h, classes(cfg.Case)),
+		OfferedShare:      audit.OfferedShare(h, classes(cfg.Case)),
 		FloodOverCapacity: overCapacity(cfg, h),
 		JainCustomers:     fairness(cfg.Case, h),
 		LatencyMS:         latencies(h),
@@ -122,7 +126,9 @@
 	for _, s := range cfg.Case.Services {
 		for _, w := range s.Work {
 			if f, ok := cfg.Script.Flood(w.Class); ok {
-				out[w.Class] = audit.Goodput(h, w.Class, "", h.Start.Add(f.From), h.Start.Add(f.To)) / s.Capacity(w)
+				from, to := h.Start.Add(f.From), h.Start.Add(f.To)
+				serving := float64(audit.Serving(h, s.Template.Name, from)) / float64(s.Upstreams)
+				out[w.Class] = audit.Goodput(h, w.Class, "", from, to) / (s.Capacity(w) * serving)
 			}
 		}
 	}
@@ -207,6 +213,8 @@
 		return "unknown"
 	case audit.Broken:
 		return "broken"
+	case audit.GaveUp:
+		return "gave_up"
 	}
 	return "invalid"
 }
--- a/io/emul/load/script.go
+++ b/io/emul/load/script.go
@@ -113,6 +113,17 @@
 	Floods []Flood
 }
 
+// WithFloodTimes returns a copy in which all floods have another rate.
+func (s Script) WithFloodTimes(times float64) Script {
+	old := s.Floods
+	s.Floods = nil
+	for _, f := range old {
+		f.Times = times
+		s = s.WithFlood(f)
+	}
+	return s
+}
+
 // With returns a copy with a step added at the end.
 func (s Script) With(at time.Duration, step Step) Script {
 	s.Steps = append(s.Steps[:len(s.Steps):len(s.Steps)], Timed{At: at, Step: step})
@@ -138,7 +149,7 @@
 // Scenarios returns the names of the scenarios.
 func Scenarios() []string {
 	return []string{
-		"steady", "drain", "rolling_change", "balancer_loss", "flood_low", "flood_high",
+		"steady", "drain", "rolling_change", "joint_change", "balancer_loss", "flood_low", "flood_high",
 		"partition", "upstream_restart", "shedding", "lying_load", "everything", "demo",
 	}
 }
@@ -147,9 +158,9 @@
 // balancer is gone.
 const suspicion = 3 * time.Second
 
-// floodTimes is the rate of a flood over the capacity of its upstreams. It is
-// bounded by the processor time that one machine has for a whole fleet.
-const floodTimes = 3
+// FloodTimes is the usual rate of a flood over the capacity of its upstreams.
+// It is bounded by the processor time that one machine has for a whole fleet.
+const FloodTimes = 3
 
 // Scenario returns the script of a named scenario over a time of at least 10 s.
 // Times inside it are shares of the length, so that a longer run does the same
@@ -168,6 +179,8 @@
 		m.at(0.2, Drain{m.desk, 1}).at(0.25, Drain{m.intake, 1})
 	case "rolling_change":
 		m.roll()
+	case "joint_change":
+		m.joint()
 	case "balancer_loss":
 		m.lose(0.2, "b01").lose(0.6, "b06").at(0.4, Retire{"b11"})
 	case "flood_low":
@@ -214,7 +227,7 @@
 }
 
 func (m *maker) flood(class string) *maker {
-	m.s = m.s.WithFlood(Flood{Class: class, Times: floodTimes, From: m.share(0.4), To: m.share(0.8)})
+	m.s = m.s.WithFlood(Flood{Class: class, Times: FloodTimes, From: m.share(0.4), To: m.share(0.8)})
 	return m
 }
 
@@ -227,6 +240,13 @@
 	m.at(0.8, Edit{m.intake})
 }
 
+// joint changes balancers and upstreams at the same time: flows of upstreams
+// that were replaced must survive at balancers that started later.
+func (m *maker) joint() {
+	m.at(0.2, Replace{m.desk, 1}).at(0.25, Replace{m.desk, 2}).at(0.3, Replace{m.intake, 1})
+	m.at(0.4, Add{"b17", m.c.DataCentres[0]}).at(0.5, Retire{"b01"}).at(0.6, Add{"b18", m.c.DataCentres[1]})
+}
+
 // everything does all of it at once, as far as one deployment allows.
 func (m *maker) everything() {
 	m.at(0.1, Drain{m.desk, 1}).at(0.12, Edit{m.desk}).lose(0.15, "b01")
@@ -240,5 +260,5 @@
 // demo is short: an edit, a drain, a lost balancer and a flood.
 func (m *maker) demo() {
 	m.at(0.1, Edit{m.desk}).at(0.15, Drain{m.desk, 1}).lose(0.2, "b01").at(0.45, Retire{"b02"})
-	m.s = m.s.WithFlood(Flood{Class: m.c.Services[0].Work[0].Class, Times: floodTimes, From: m.share(0.65), To: m.share(0.95)})
+	m.s = m.s.WithFlood(Flood{Class: m.c.Services[0].Work[0].Class, Times: FloodTimes, From: m.share(0.65), To: m.share(0.95)})
 }
--- a/io/emul/load/stage.go
+++ b/io/emul/load/stage.go
@@ -265,7 +265,7 @@
 	cfg := s.fleet.Config()
 	for _, c := range s.c.Using(st.Service) {
 		if p, ok := cfg.Params(c.Name); ok {
-			cfg = cfg.WithParams(p.WithUpstream(u).WithoutUpstream(old))
+			cfg = release(cfg, p, old).WithParams(p.WithUpstream(u).WithoutUpstream(old))
 		}
 	}
 	s.put(cfg)
@@ -273,6 +273,17 @@
 	return nil
 }
 
+// release records that an upstream leaves its service, as an accepted edit
+// does.
+func release(cfg model.Config, p model.Params, upstream string) model.Config {
+	for _, u := range p.Upstreams {
+		if u.Name == upstream {
+			cfg = cfg.WithRelease(u.Endpoint, model.Release{Holder: p.Template, Revision: cfg.Revision + 1})
+		}
+	}
+	return cfg
+}
+
 // retire lets a balancer leave while the script goes on.
 func (s *stage) retire(name string) {
 	at := time.Now()
--- a/io/emul/upstr/health.go
+++ b/io/emul/upstr/health.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -17,7 +18,11 @@
 
 func (s *Server) healthHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		if from, err := netip.ParseAddrPort(r.RemoteAddr); err == nil && s.cfg.Cut(from.Addr()) {
+			// The caller must get no answer, as from a host that it cannot reach.
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.Report())
 	})
--- a/io/subcmd/load.go
+++ b/io/subcmd/load.go
@@ -22,7 +22,7 @@
 	example, scenario, policies string
 	seed                        uint64
 	length, delay               time.Duration
-	drop                        float64
+	times, drop                 float64
 	noToken, asJSON             bool
 	timeline                    string
 }
@@ -56,6 +56,7 @@
 	f.StringVar(&l.policies, "policy", "egretdock", "policies to run, separated by commas")
 	f.Uint64Var(&l.seed, "seed", 1, "seed of arrivals, upstreams and network faults")
 	f.DurationVar(&l.length, "for", 20*time.Second, "length of the load, at least 10s")
+	f.Float64Var(&l.times, "times", load.FloodTimes, "rate of floods over the capacity of their upstreams")
 	f.DurationVar(&l.delay, "delay", 0, "one-way delay between clients and balancers; the examples state 3ms and 1ms")
 	f.Float64Var(&l.drop, "drop", 0, "share of datagrams lost between clients and balancers, 0 to 1")
 	f.BoolVar(&l.noToken, "no-token", false, "clients echo no route token")
@@ -116,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := load.Config{Case: c, Script: script, Seed: l.seed, NoToken: l.noToken}
+	cfg := load.Config{Case: c, Script: script.WithFloodTimes(l.times), Seed: l.seed, NoToken: l.noToken}
 	if l.delay > 0 {
 		cfg.Faults = append(cfg.Faults, fabric.Delay{Base: l.delay})
 	}
--- a/io/subcmd/print.go
+++ b/io/subcmd/print.go
@@ -30,6 +30,7 @@
 	p("  flows opened %d, broken %d (by changes %d)", r.FlowsOpened, r.FlowsBroken, r.FlowsBrokenByChange)
 	p("  imbalance max/mean %.3f, coefficient of variation %.3f (window %.0f s)", r.ImbalanceMaxOverMean, r.ImbalanceVariation, r.ImbalanceWindowSeconds)
 	printShares(w, "kept share", r.KeptShare)
+	printShares(w, "offered share", r.OfferedShare)
 	printShares(w, "flood goodput over capacity", r.FloodOverCapacity)
 	printShares(w, "jain index of customers", r.JainCustomers)
 	p("  misrouted %d, ran twice %d, false not_run %d, wrong answers %d", r.Misrouted, r.RanTwice, r.FalseNotRun, r.WrongAnswers)
