--- a/cmd/egretdock/main.go
+++ b/cmd/egretdock/main.go
@@ -3,21 +3,16 @@
 
 import (
 	"context"
-	"flag"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/google/subcommands"
-
 	"egretdock/io/subcmd"
 )
 
 func main() {
-	subcmd.Register()
-	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	status := subcommands.Execute(ctx)
+	code := subcmd.Main(ctx, os.Args[1:], subcmd.DefaultEnv())
 	stop()
-	os.Exit(int(status))
+	os.Exit(code)
 }
--- a/io/emul/load/drive.go
+++ b/io/emul/load/drive.go
@@ -49,7 +49,7 @@
 		Due: due, Ended: time.Now(), Outcome: out,
 	})
 	if _, ok := out.(audit.Answered); !ok {
-		s.line.outcome(a.Customer.Name, a.Payload, fmt.Sprintf("%T %+v", out, out))
+		s.line.outcome(a.Customer.Name, 0, fmt.Sprintf("%s: %s %+v", a.Payload, name(out), out))
 	}
 }
 
@@ -157,7 +157,7 @@
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
-				s.line.outcome(u.Name, cl.Name, err.Error())
+				s.line.outcome(u.Name, 0, cl.Name+": "+err.Error())
 			}
 			wait(ctx, time.Now().Add(reopenPause))
 			continue
@@ -165,7 +165,7 @@
 		rec := audit.Flow{ID: f.ID(), Customer: u.Name, Class: cl.Name, Address: a.Address(), Opened: time.Now()}
 		if err := s.receive(ctx, f, u.Name, cl.Name); err != nil {
 			rec.Broken, rec.Reason = time.Now(), err.Error()
-			s.line.outcome(u.Name, fmt.Sprintf("%s flow %x", cl.Name, f.ID()), rec.Reason)
+			s.line.outcome(u.Name, f.ID(), cl.Name+": "+rec.Reason)
 		}
 		s.rec.flow(rec)
 		f.Close()
--- a/io/emul/load/stage.go
+++ b/io/emul/load/stage.go
@@ -86,7 +86,7 @@
 }
 
 func (s *stage) event(balancer string, e *effect.Event) {
-	s.line.event(balancer, e)
+	s.line.event(balancer, *e)
 	if e.Name == "config_in_force" {
 		f := audit.InForce{Balancer: balancer, Revision: e.Revision, At: time.Now()}
 		s.rec.update(func(h *audit.History) { h.InForce = append(h.InForce, f) })
--- a/io/emul/load/timeline.go
+++ b/io/emul/load/timeline.go
@@ -6,13 +6,17 @@
 	"sync"
 	"time"
 
+	"egretdock/core/clock"
 	"egretdock/core/effect"
+	"egretdock/io/logs"
 )
 
-// timeline writes what happens in a run, one line of key=value pairs each.
+// timeline writes what happens in a run as event lines, which the command
+// timeline reads. All processes share one clock, so one stamp orders them.
 type timeline struct {
-	mu sync.Mutex
-	w  io.Writer
+	mu    sync.Mutex
+	w     io.Writer
+	stamp clock.Stamp
 }
 
 func newTimeline(w io.Writer) *timeline {
@@ -22,19 +26,20 @@
 	return &timeline{w: w}
 }
 
-func (t *timeline) event(balancer string, e *effect.Event) {
-	t.write("balancer=%s event=%s flow=%x customer=%q upstream=%q revision=%d detail=%q", balancer, e.Name, e.Flow, e.Customer, e.Upstream, e.Revision, e.Detail)
+func (t *timeline) event(process string, e effect.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stamp = t.stamp.Tick(time.Now())
+	r := logs.Record{Process: process, At: t.stamp}.WithEvent(e)
+	// A line that cannot be written must not disturb the run.
+	_, _ = fmt.Fprintln(t.w, r)
 }
 
-func (t *timeline) step(s Step) { t.write("event=step step=%q", fmt.Sprintf("%T %+v", s, s)) }
-
-func (t *timeline) outcome(customer, payload, how string) {
-	t.write("event=call customer=%q call=%q outcome=%q", customer, payload, how)
+func (t *timeline) step(s Step) {
+	t.event("load", effect.Event{Name: "step", Detail: fmt.Sprintf("%T %+v", s, s)})
 }
 
-func (t *timeline) write(format string, args ...any) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	// A line that cannot be written must not disturb the run.
-	_, _ = fmt.Fprintf(t.w, "time=%s "+format+"\n", append([]any{time.Now().Format(time.RFC3339Nano)}, args...)...)
+// outcome reports work that did not end well.
+func (t *timeline) outcome(customer string, flow uint64, detail string) {
+	t.event("load", effect.Event{Name: "client_outcome", Customer: customer, Flow: flow, Detail: detail})
 }
--- a/io/subcmd/call.go
+++ b/io/subcmd/call.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"net/netip"
-	"os"
 	"strings"
 	"time"
 
@@ -18,6 +16,7 @@
 
 // Call does one piece of work as a client.
 type Call struct {
+	Env
 	balancers, address, kind, payload string
 	timeout                           time.Duration
 	count                             int
@@ -37,8 +36,8 @@
 answer in hexadecimal; a feed prints -count messages; an upload sends -count
 chunks of the payload and then the payload as its final request.
 
-Exit codes: 0 done; 1 failed; 2 wrong usage; 3 refused and not run;
-4 outcome unknown.
+Exit codes: 0 done; 1 failed; 2 wrong usage; 3 invalid argument; 6 no port or
+the flow was lost; 7 outcome unknown; 10 refused and not run.
 
 `
 }
@@ -57,15 +56,12 @@
 func (c *Call) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	cl, address, err := c.dial()
 	if err != nil {
-		return report(err)
+		return c.finish(c.Name(), err)
 	}
 	defer func() { _ = cl.Close() }()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	if err := c.do(ctx, cl, address); err != nil {
-		return reportCall(err)
-	}
-	return subcommands.ExitSuccess
+	return c.finishCall(c.do(ctx, cl, address))
 }
 
 func (c *Call) dial() (*client.Client, netip.AddrPort, error) {
@@ -116,7 +112,7 @@
 	case "request":
 		answer, err := f.Do(ctx, []byte(c.payload))
 		if err == nil {
-			fmt.Printf("%x\n", answer)
+			c.print("%x", answer)
 		}
 		return err
 	default:
@@ -130,23 +126,25 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%s\n", b)
+		c.print("%s", b)
 	}
 	return nil
 }
 
-// reportCall prints the outcome of a call that did not succeed.
-func reportCall(err error) subcommands.ExitStatus {
+// finishCall reports how a call ended and returns its exit code.
+func (c *Call) finishCall(err error) subcommands.ExitStatus {
+	status := c.finish(c.Name(), err)
 	var notRun *client.NotRunError
 	var unknown *client.UnknownError
+	var broken *client.BrokenError
 	switch {
 	case errors.As(err, &notRun):
-		fmt.Fprintln(os.Stderr, "egretdock:", err)
 		return ExitNotRun
 	case errors.As(err, &unknown):
-		fmt.Fprintln(os.Stderr, "egretdock:", err)
-		return ExitUnknown
+		return ExitUnknownOutcome
+	case errors.As(err, &broken):
+		return ExitUnavailable
 	default:
-		return report(err)
+		return status
 	}
 }
--- a/io/subcmd/demo.go
+++ b/io/subcmd/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
 	"time"
 
@@ -16,6 +15,7 @@
 
 // Demo shows the whole system at work in under half a minute.
 type Demo struct {
+	Env
 	example string
 	seed    uint64
 }
@@ -39,8 +39,8 @@
 and prints the measures and the invariants. It needs no setup and takes less
 than 30 seconds.
 
-Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage;
-5 an invariant broke.
+Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage; 8 no such
+example; 11 an invariant broke.
 
 `
 }
@@ -55,43 +55,44 @@
 func (d *Demo) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	c, err := cases.Find(d.example)
 	if err != nil {
-		return report(err)
+		return d.finish(d.Name(), err)
 	}
 	script, err := load.Scenario("demo", c, demoLength)
 	if err != nil {
-		return report(err)
+		return d.finish(d.Name(), err)
 	}
 	line, err := os.CreateTemp("", "egretdock-demo-*.log")
 	if err != nil {
-		return report(fault.Wrap(err, fault.KindUnavailable, "cannot write the time line", "set TMPDIR to a writable directory"))
+		err = fault.Wrap(err, fault.KindUnavailable, "cannot write the time line", "set TMPDIR to a writable directory")
+		return d.finish(d.Name(), err)
 	}
 	defer func() { _ = line.Close() }()
-	introduce(c, script)
+	d.introduce(c, script)
 	cfg := load.Config{Case: c, Script: script, Policy: load.Egretdock{}, Seed: d.seed, Timeline: line, Progress: func(t time.Duration) {
-		fmt.Printf("  %s of %s\n", t.Round(time.Second), script.Length)
+		d.print("  %s of %s", t.Round(time.Second), script.Length)
 	}}
 	h, err := load.Run(ctx, cfg)
 	if err != nil {
-		return report(err)
+		return d.finish(d.Name(), err)
 	}
 	r := load.Summarize(cfg, h)
-	printReport(os.Stdout, r)
-	fmt.Printf("time line: %s\n", line.Name())
+	printReport(d.Out, r)
+	d.print("time line: %s", line.Name())
 	if r.Broken() {
 		return ExitInvariant
 	}
 	return subcommands.ExitSuccess
 }
 
-func introduce(c cases.Case, s load.Script) {
-	fmt.Printf("%s: %d balancers in %d data centres, %d customers\n", c.Name, c.Balancers, len(c.DataCentres), len(c.Customers))
+func (d *Demo) introduce(c cases.Case, s load.Script) {
+	d.print("%s: %d balancers in %d data centres, %d customers", c.Name, c.Balancers, len(c.DataCentres), len(c.Customers))
 	for _, sv := range c.Services {
-		fmt.Printf("  service %s: %d upstreams with %d slots\n", sv.Template.Name, sv.Upstreams, sv.Slots)
+		d.print("  service %s: %d upstreams with %d slots", sv.Template.Name, sv.Upstreams, sv.Slots)
 	}
 	for _, t := range s.Steps {
-		fmt.Printf("  at %4.1f s: %T %+v\n", t.At.Seconds(), t.Step, t.Step)
+		d.print("  at %4.1f s: %T %+v", t.At.Seconds(), t.Step, t.Step)
 	}
 	for _, f := range s.Floods {
-		fmt.Printf("  from %.1f s to %.1f s: flood of %s at %.0f times its capacity\n", f.From.Seconds(), f.To.Seconds(), f.Class, f.Times)
+		d.print("  from %.1f s to %.1f s: flood of %s at %.0f times its capacity", f.From.Seconds(), f.To.Seconds(), f.Class, f.Times)
 	}
 }
--- a/io/subcmd/load.go
+++ b/io/subcmd/load.go
@@ -5,13 +5,11 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/google/subcommands"
 
-	"egretdock/core/fault"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/fabric"
 	"egretdock/io/emul/load"
@@ -19,6 +17,7 @@
 
 // Load runs a scenario on an example deployment in this process.
 type Load struct {
+	Env
 	example, scenario, policies string
 	seed                        uint64
 	length, delay               time.Duration
@@ -43,8 +42,9 @@
 Scenarios: ` + strings.Join(load.Scenarios(), ", ") + `.
 Policies: ` + strings.Join(load.Policies(), ", ") + `.
 
-Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage;
-5 an invariant broke under the first policy.
+Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage; 3 invalid
+argument; 8 no such example, scenario or policy; 11 an invariant broke under the
+first policy.
 
 `
 }
@@ -68,29 +68,29 @@
 func (l *Load) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	cfgs, err := l.configs()
 	if err != nil {
-		return report(err)
+		return l.finish(l.Name(), err)
 	}
 	out, closeFile, err := create(l.timeline)
 	if err != nil {
-		return report(err)
+		return l.finish(l.Name(), err)
 	}
 	defer closeFile()
 	var reports []load.Report
 	for _, cfg := range cfgs {
 		cfg.Timeline = out
 		cfg.Progress = func(d time.Duration) {
-			fmt.Fprintf(os.Stderr, "%s %s: %s of %s\n", cfg.Script.Name, cfg.Policy, d.Round(time.Second), l.length)
+			_, _ = fmt.Fprintf(l.Err, "%s %s: %s of %s\n", cfg.Script.Name, cfg.Policy, d.Round(time.Second), l.length)
 		}
 		h, err := load.Run(ctx, cfg)
 		if err != nil {
-			return report(err)
+			return l.finish(l.Name(), err)
 		}
 		r := load.Summarize(cfg, h)
-		l.print(r)
+		l.show(r)
 		reports = append(reports, r)
 	}
 	for _, r := range reports[1:] {
-		printRatios(os.Stderr, reports[0], r)
+		printRatios(l.Err, reports[0], r)
 	}
 	if reports[0].Broken() {
 		return ExitInvariant
@@ -98,12 +98,12 @@
 	return subcommands.ExitSuccess
 }
 
-func (l *Load) print(r load.Report) {
+func (l *Load) show(r load.Report) {
 	if !l.asJSON {
-		printReport(os.Stdout, r)
+		printReport(l.Out, r)
 		return
 	}
-	enc := json.NewEncoder(os.Stdout)
+	enc := json.NewEncoder(l.Out)
 	enc.SetIndent("", "  ")
 	_ = enc.Encode(r)
 }
@@ -135,14 +135,3 @@
 	}
 	return out, nil
 }
-
-// report prints an error and returns its exit code.
-func report(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "egretdock:", err)
-	switch fault.KindOf(err) {
-	case fault.KindInvalid, fault.KindNotFound:
-		return subcommands.ExitUsageError
-	default:
-		return subcommands.ExitFailure
-	}
-}
--- a/io/subcmd/upstream.go
+++ b/io/subcmd/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"net/netip"
 
 	"github.com/google/subcommands"
@@ -15,6 +14,7 @@
 
 // Upstream runs one stand-in upstream as a process.
 type Upstream struct {
+	Env
 	example, service, name string
 	listen, health         string
 	seed                   uint64
@@ -33,7 +33,8 @@
 Serves flows of one service of an example until it is interrupted, and prints
 the addresses of its packet socket and of its health endpoint.
 
-Exit codes: 0 ended by a signal; 1 failed; 2 wrong usage.
+Exit codes: 0 ended by a signal; 2 wrong usage; 3 invalid argument; 8 no such
+service.
 
 `
 }
@@ -52,14 +53,14 @@
 func (u *Upstream) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	cfg, err := u.config()
 	if err != nil {
-		return report(err)
+		return u.finish(u.Name(), err)
 	}
 	s, err := upstr.Start(cfg)
 	if err != nil {
-		return report(err)
+		return u.finish(u.Name(), err)
 	}
 	defer s.Close()
-	fmt.Printf("endpoint=%s health=%s\n", s.Endpoint(), s.Health())
+	u.print("endpoint=%s health=%s", s.Endpoint(), s.Health())
 	<-ctx.Done()
 	return subcommands.ExitSuccess
 }
