--- a/io/emul/fleet/deploy.go
+++ b/io/emul/fleet/deploy.go
@@ -40,7 +40,7 @@
 func (f *Fleet) addUpstreams(c cases.Case, s cases.Service, seed uint64) ([]model.Upstream, error) {
 	var out []model.Upstream
 	for i := range s.Upstreams {
-		name := fmt.Sprintf("%s_%02d", s.Template.Name, i+1)
+		name := cases.UpstreamName(s.Template.Name, i+1)
 		u, err := f.AddCaseUpstream(c, s, c.DataCentres[i%len(c.DataCentres)], name, seed+uint64(i))
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/io/emul/load/load_test.go
@@ -0,0 +1,140 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"egretdock/io/emul/audit"
+	"egretdock/io/emul/cases"
+	"egretdock/io/emul/fabric"
+)
+
+// Guards against runs that differ although the seed is the same.
+func TestArrivals(t *testing.T) {
+	c := cases.Casablanca()
+	s, err := Scenario("flood_low", c, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := func(seed uint64) string { return fmt.Sprint(Arrivals(c, s, seed)) }
+	t.Run("same seed", func(t *testing.T) {
+		if first, second := text(1), text(1); first != second {
+			t.Error("two calls with one seed differ")
+		}
+	})
+	t.Run("other seed", func(t *testing.T) {
+		if text(1) == text(2) {
+			t.Error("two seeds give the same arrivals")
+		}
+	})
+	t.Run("flood raises its class only", func(t *testing.T) {
+		f, _ := s.Flood("plans")
+		n := map[string]int{}
+		for _, a := range Arrivals(c, s, 1) {
+			if a.At >= f.From && a.At < f.To {
+				n[a.Class.Name]++
+			}
+		}
+		wantBetween(t, "plans in 4 s", n["plans"], 2200, 2600)
+		wantBetween(t, "orders in 4 s", n["orders"], 1050, 1350)
+	})
+}
+
+func wantBetween(t *testing.T, what string, got, low, high int) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("%s: %d, want %d to %d", what, got, low, high)
+	}
+}
+
+// Guards against names in the help that no scenario or policy has.
+func TestNames(t *testing.T) {
+	for _, c := range []cases.Case{cases.Casablanca(), cases.Lagos()} {
+		for _, name := range Scenarios() {
+			if _, err := Scenario(name, c, 10*time.Second); err != nil {
+				t.Errorf("%s %s: %v", c.Name, name, err)
+			}
+		}
+	}
+	for _, name := range Policies() {
+		if _, err := ParsePolicy(name); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// small has less of everything, so that a run fits a test.
+func small() cases.Case {
+	c := cases.Lagos().WithBalancers(6)
+	for i := range c.Services {
+		c.Services[i].Upstreams = 6
+		for j := range c.Services[i].Work {
+			w := &c.Services[i].Work[j]
+			w.Rate, w.Open = min(w.Rate, 40), min(w.Open, 9)
+		}
+	}
+	return c
+}
+
+func wantNoFail(t *testing.T, h *audit.History, exercised ...string) {
+	t.Helper()
+	got := make(map[string]audit.Verdict)
+	for _, i := range audit.Check(h) {
+		got[i.ID] = i.Verdict
+		if f, bad := i.Verdict.(audit.Fail); bad {
+			t.Errorf("%s: %v", i.ID, f.Findings)
+		}
+	}
+	for _, id := range exercised {
+		if _, ok := got[id].(audit.NotExercised); ok {
+			t.Errorf("%s was not exercised", id)
+		}
+	}
+}
+
+// Guards against scenarios that do nothing, and against invariants that break
+// when balancers, upstreams and configuration change on a network that loses
+// and reorders.
+func TestRun(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := small()
+	script := Script{Name: "test", Length: 3 * time.Second}.
+		With(300*time.Millisecond, Edit{"dispatch"}).
+		With(400*time.Millisecond, Drain{"dispatch", 1}).
+		With(600*time.Millisecond, Replace{"dispatch", 2}).
+		With(800*time.Millisecond, Kill{"b01"}).
+		With(900*time.Millisecond, Notice{}).
+		With(1200*time.Millisecond, Restart{"photo_archive", 1}).
+		With(1500*time.Millisecond, Undrain{"dispatch", 1})
+	cfg := Config{
+		Case: c, Script: script, Policy: Egretdock{}, Seed: 1,
+		Faults: []fabric.Fault{fabric.Drop{Share: 0.01}, fabric.Duplicate{Share: 0.02}, fabric.Reorder{Share: 0.05, By: 5 * time.Millisecond}},
+	}
+	h, err := Run(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantNoFail(t, h, "flow_survives", "no_misroute", "whole_answer", "at_most_once", "edit_sticks")
+	r := Summarize(cfg, h)
+	if r.FlowsOpened == 0 || len(r.LatencyMS) != 2 || r.EditInForceSeconds == nil {
+		t.Errorf("report lacks measures: %+v", r)
+	}
+}
+
+// Guards against a baseline that cannot serve at all, which would make every
+// comparison with it worthless.
+func TestBaselines(t *testing.T) {
+	for _, p := range []Policy{Bare{}, Random{}} {
+		t.Run(p.String(), func(t *testing.T) {
+			defer goleak.VerifyNone(t)
+			h, err := Run(t.Context(), Config{Case: small(), Script: Script{Length: time.Second}, Policy: p, Seed: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			wantNoFail(t, h, "whole_answer", "at_most_once")
+		})
+	}
+}
--- a/io/emul/load/stage.go
+++ b/io/emul/load/stage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -37,12 +36,12 @@
 		c: cfg.Case, rec: newRecord(), line: newTimeline(cfg.Timeline), seed: cfg.Seed,
 		links: make(map[string]*client.UDP), clients: make(map[string]*client.Client),
 	}
-	opts := cfg.Policy.options()
+	opts := options(cfg.Policy)
 	opts.Events = s.event
 	s.fleet = fleet.New(ctx, opts)
 	for _, sv := range cfg.Case.Services {
 		for i := range sv.Upstreams {
-			s.rec.h.Upstreams[upstreamName(sv.Template.Name, i+1)] = sv.Template.Name
+			s.rec.h.Upstreams[cases.UpstreamName(sv.Template.Name, i+1)] = sv.Template.Name
 		}
 	}
 	if err := s.fleet.Deploy(ctx, cfg.Case, cfg.Seed); err != nil {
@@ -59,8 +58,6 @@
 	return s, nil
 }
 
-func upstreamName(service string, index int) string { return fmt.Sprintf("%s_%02d", service, index) }
-
 func (s *stage) dial(cfg Config) error {
 	for i, u := range cfg.Case.Customers {
 		seed := cfg.Seed + uint64(i)
@@ -123,98 +120,6 @@
 	s.fleet.Configure(cfg)
 }
 
-// run does the steps of a script at their times.
-func (s *stage) run(ctx context.Context, start time.Time, steps []Timed) error {
-	for _, t := range steps {
-		if !wait(ctx, start.Add(t.At)) {
-			return nil
-		}
-		s.line.step(t.Step)
-		if err := s.do(t.Step); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// do carries out one step.
-func (s *stage) do(step Step) error {
-	switch st := step.(type) {
-	case Edit:
-		s.edit(st.Service)
-	case Drain:
-		s.drain(upstreamName(st.Service, st.Index))
-	case Undrain:
-		s.undrain(upstreamName(st.Service, st.Index))
-	case Replace:
-		return s.replace(st)
-	case Restart:
-		name := upstreamName(st.Service, st.Index)
-		s.rec.fault(audit.Restarted{Upstream: name, At: time.Now()})
-		s.fleet.Upstream(name).Restart()
-	case Shed:
-		name := upstreamName(st.Service, st.Index)
-		s.disturb(name, "shedding", st.OneOf > 0)
-		s.fleet.Upstream(name).Shed(st.OneOf)
-	case Lie:
-		name := upstreamName(st.Service, st.Index)
-		s.disturb(name, "lying", st.On)
-		s.fleet.Upstream(name).Lie(st.On)
-	case Kill:
-		s.rec.fault(audit.Killed{Balancer: st.Balancer, At: time.Now()})
-		s.fleet.KillBalancer(st.Balancer)
-		s.gone(st.Balancer)
-	case Retire:
-		s.retire(st.Balancer)
-	case Add:
-		return s.add(st)
-	case Notice:
-		s.fleet.Announce()
-		s.relist()
-	case Cut:
-		s.rec.fault(audit.Cut{DataCentres: st.DataCentres, At: time.Now()})
-		s.fleet.Partition(st.DataCentres...)
-	case Heal:
-		s.heal()
-	}
-	return nil
-}
-
-// edit alternates the queue limit of a template's first class between two
-// values.
-func (s *stage) edit(service string) {
-	cfg := s.fleet.Config()
-	t, ok := cfg.Template(service)
-	if !ok || len(t.Classes) == 0 {
-		return
-	}
-	c := t.Classes[0]
-	if c.QueueLimit == model.DefaultQueueLimit {
-		c.QueueLimit = model.DefaultQueueLimit - 1
-	} else {
-		c.QueueLimit = model.DefaultQueueLimit
-	}
-	s.put(cfg.WithTemplate(t.WithClass(c)))
-}
-
-func (s *stage) drain(name string) {
-	s.rec.fault(audit.Drained{Upstream: name, At: time.Now()})
-	s.fleet.Upstream(name).Drain(true)
-}
-
-func (s *stage) undrain(name string) {
-	last := s.fleet.Journal.LastNewWork(name)
-	s.rec.amend(func(f audit.Fault) (audit.Fault, bool) {
-		d, ok := f.(audit.Drained)
-		if !ok || d.Upstream != name || !d.Until.IsZero() {
-			return nil, false
-		}
-		d.LastWork, d.Until = last, time.Now()
-		return d, true
-	})
-	s.fleet.Upstream(name).Drain(false)
-}
-
 // finish fills in what is known only at the end of a run.
 func (s *stage) finish(end time.Time) {
 	s.rec.update(func(h *audit.History) {
@@ -228,97 +133,6 @@
 	})
 }
 
-func (s *stage) disturb(name, how string, on bool) {
-	if on {
-		s.rec.fault(audit.Disturbed{Upstream: name, How: how, At: time.Now()})
-		return
-	}
-	s.rec.amend(func(f audit.Fault) (audit.Fault, bool) {
-		d, ok := f.(audit.Disturbed)
-		if !ok || d.Upstream != name || d.How != how || !d.Until.IsZero() {
-			return nil, false
-		}
-		d.Until = time.Now()
-		return d, true
-	})
-}
-
-// replace adds an upstream, takes the old one out of the configuration and
-// drains it, as a rolling change does.
-func (s *stage) replace(st Replace) error {
-	sv, ok := s.c.Service(st.Service)
-	if !ok {
-		return nil
-	}
-	old := upstreamName(st.Service, st.Index)
-	s.added++
-	name := fmt.Sprintf("%s_r%d", old, s.added)
-	dc := s.c.DataCentres[(st.Index-1)%len(s.c.DataCentres)]
-	u, err := s.fleet.AddCaseUpstream(s.c, sv, dc, name, s.seed+uint64(1000+s.added))
-	if err != nil {
-		return err
-	}
-	// The new upstream has its share only after its slow start.
-	now := time.Now()
-	s.rec.fault(audit.Disturbed{Upstream: name, How: "added", At: s.began, Until: now.Add(suspicion)})
-	s.rec.update(func(h *audit.History) { h.Upstreams[name] = st.Service })
-	cfg := s.fleet.Config()
-	for _, c := range s.c.Using(st.Service) {
-		if p, ok := cfg.Params(c.Name); ok {
-			cfg = release(cfg, p, old).WithParams(p.WithUpstream(u).WithoutUpstream(old))
-		}
-	}
-	s.put(cfg)
-	s.drain(old)
-	return nil
-}
-
-// release records that an upstream leaves its service, as an accepted edit
-// does.
-func release(cfg model.Config, p model.Params, upstream string) model.Config {
-	for _, u := range p.Upstreams {
-		if u.Name == upstream {
-			cfg = cfg.WithRelease(u.Endpoint, model.Release{Holder: p.Template, Revision: cfg.Revision + 1})
-		}
-	}
-	return cfg
-}
-
-// retire lets a balancer leave while the script goes on.
-func (s *stage) retire(name string) {
-	at := time.Now()
-	wait := s.fleet.RetireBalancer(name)
-	s.relist()
-	s.leaving.Add(1)
-	go func() {
-		defer s.leaving.Done()
-		wait()
-		s.gone(name)
-		s.rec.fault(audit.Retired{Balancer: name, At: at, Ended: time.Now()})
-	}()
-}
-
-func (s *stage) add(st Add) error {
-	s.live(st.Balancer, st.DataCentre)
-	if err := s.fleet.AddBalancer(st.Balancer, st.DataCentre); err != nil {
-		return err
-	}
-	s.relist()
-	return nil
-}
-
-func (s *stage) heal() {
-	s.rec.amend(func(f audit.Fault) (audit.Fault, bool) {
-		c, ok := f.(audit.Cut)
-		if !ok || !c.Healed.IsZero() {
-			return nil, false
-		}
-		c.Healed = time.Now()
-		return c, true
-	})
-	s.fleet.Heal()
-}
-
 // wait waits until a time and reports false when ctx ends first.
 func wait(ctx context.Context, until time.Time) bool {
 	d := time.Until(until)
