--- /dev/null
+++ b/io/emul/load/timeline.go
@@ -0,0 +1,45 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"egretdock/core/clock"
+	"egretdock/core/effect"
+	"egretdock/io/logs"
+)
+
+// timeline writes what happens in a run as event lines, which the command
+// timeline reads. All processes share one clock, so one stamp orders them.
+type timeline struct {
+	mu    sync.Mutex
+	w     io.Writer
+	stamp clock.Stamp
+}
+
+func newTimeline(w io.Writer) *timeline {
+	if w == nil {
+		w = io.Discard
+	}
+	return &timeline{w: w}
+}
+
+func (t *timeline) event(process string, e effect.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stamp = t.stamp.Tick(time.Now())
+	r := logs.Record{Process: process, At: t.stamp}.WithEvent(e)
+	// A line that cannot be written must not disturb the run.
+	_, _ = fmt.Fprintln(t.w, r)
+}
+
+func (t *timeline) step(s Step) {
+	t.event("load", effect.Event{Name: "step", Detail: fmt.Sprintf("%T %+v", s, s)})
+}
+
+// outcome reports work that did not end well.
+func (t *timeline) outcome(customer string, flow uint64, detail string) {
+	t.event("load", effect.Event{Name: "client_outcome", Customer: customer, Flow: flow, Detail: detail})
+}
--- a/io/subcmd/base.go
+++ b/io/subcmd/base.go
@@ -104,6 +104,7 @@
 	cdr.Output, cdr.Error = e.Out, e.Err
 	cdr.Register(cdr.HelpCommand(), "")
 	Register(cdr, e)
+	RegisterTools(cdr, e)
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
