Rank upstreams for each flow and look for an idle one first

Cause of the imbalance in steady state: the slot table had 64 slots for each of 15 upstreams, whose shares differ by 12% by chance, and an owner kept an opening as long as its concurrency limit had room although other candidates were idle.

Ruled out: a table with even shares (1,024 slots for each name bring 3%, but 59 MB for 1,200 customers against 32 MB of control memory in all).

Orders still see a p99 of 0.3 to 0.7 s and a few refusals in steady state; the cause is not known yet.

--- a/core/cmds/admit.go
+++ b/core/cmds/admit.go
@@ -54,12 +54,17 @@
 		return openUpload(now, st, r, it)
 	case model.KindRequest:
 	}
-	if load := st.Admit.Load(); !r.Forced && !load.HasRoom() {
-		return Pass{Queue: uint32(load.Queued)}
+	if load := st.Admit.Load(); !r.Forced && load.InFlight+load.Queued >= idleBelow(st) {
+		return Pass{Queue: uint32(load.InFlight + load.Queued)}
 	}
 	return offer(now, st, r, it, rnd)
 }
 
+// idleBelow is the number of requests at which an upstream is busy, so that an
+// opening looks for an idle one first. The concurrency limit is higher, to keep
+// the slots in use between a grant and its request.
+func idleBelow(st *table.Upstream) int { return max(st.Health.Slots(), 1) }
+
 // openUpload lets an upload begin. Its entry stays until the final request is
 // answered, the client closes the flow, or the deadline passes.
 func openUpload(now time.Time, st *table.Upstream, r input.Relay, it admit.Item) Result {
--- a/core/engine/owner.go
+++ b/core/engine/owner.go
@@ -10,7 +10,7 @@
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/query"
-	"egretdock/core/slots"
+	"egretdock/core/rank"
 	"egretdock/core/table"
 )
 
@@ -126,9 +126,9 @@
 	r.Tried++
 	c := b.Pool.Placement(r.Packet.Flow)
 	next := c.At(int(r.Tried))
-	slotDone := r.Tried >= slots.Width && r.BestQueue < cmds.Ejected
+	tried := r.Tried >= rank.Width && r.BestQueue < cmds.Ejected
 	switch {
-	case next != nil && !slotDone:
+	case next != nil && !tried:
 		r.Target = next.Endpoint
 	case r.BestQueue != cmds.Unavailable:
 		r.Target, r.Forced = r.Best, true
--- a/core/table/pool.go
+++ b/core/table/pool.go
@@ -4,11 +4,11 @@
 	"slices"
 
 	"egretdock/core/model"
-	"egretdock/core/slots"
+	"egretdock/core/rank"
 )
 
 const (
-	// MaxGenerations is the number of earlier slot tables that a pool keeps. A
+	// MaxGenerations is the number of earlier upstream sets that a pool keeps. A
 	// flow without a token is looked for in them before all other upstreams.
 	MaxGenerations = 4
 	// MaxRemoved is the number of removed upstreams in which a flow without a
@@ -17,13 +17,13 @@
 	MaxRemoved = 64
 )
 
-// Pool is the set of upstreams that serves one customer, with the slot table
+// Pool is the set of upstreams that serves one customer, with the ranking
 // built from it. It is immutable.
 type Pool struct {
 	// Upstreams are sorted by name.
 	Upstreams []model.Upstream
-	// Slots has one name for each upstream, in the same order.
-	Slots slots.Table
+	// Ranking has one name for each upstream, in the same order.
+	Ranking rank.Ranking
 	// Older holds earlier generations, newest first; their own Older and
 	// Removed are nil.
 	Older []*Pool
@@ -37,7 +37,7 @@
 	for i, u := range us {
 		names[i] = u.Name
 	}
-	return &Pool{Upstreams: us, Slots: slots.Build(names)}
+	return &Pool{Upstreams: us, Ranking: rank.New(names)}
 }
 
 // withHistory returns a copy of the pool that follows prev.
@@ -62,13 +62,13 @@
 
 func (p *Pool) sameAs(us []model.Upstream) bool { return slices.Equal(p.Upstreams, us) }
 
-// spares is the number of candidates beyond those of the slot. They are used
-// only when all of the slot's candidates are out of use; with half of the
+// spares is the number of candidates beyond the highest-ranked ones. They are used
+// only when all of those are out of use; with half of the
 // upstreams gone, that is one flow in eight.
 const spares = 2
 
-// Placement returns the candidates for a new flow, best first: those of its
-// slot, then the spares.
+// Placement returns the candidates for a new flow, best first: the
+// highest-ranked ones, then the spares.
 func (p *Pool) Placement(flow uint64) Candidates {
 	var c Candidates
 	c.add(p, flow)
@@ -77,7 +77,7 @@
 }
 
 // Search returns the upstreams that may hold an established flow, the likely
-// ones first: the slots of the current and of earlier generations, then all
+// ones first: the candidates of the current and of earlier generations, then all
 // other upstreams, since a flow may have been opened at a spare.
 func (p *Pool) Search(flow uint64) Candidates {
 	var c Candidates
@@ -112,8 +112,9 @@
 }
 
 func (c *Candidates) add(p *Pool, flow uint64) {
-	for _, i := range p.Slots.Row(flow) {
-		u := &p.Upstreams[i]
+	top := p.Ranking.Top(flow)
+	for i := range top.Len() {
+		u := &p.Upstreams[top.At(i)]
 		if c.n < maxCandidates && !c.has(u) {
 			c.list[c.n] = u
 			c.n++
