Wait for membership before a load run; compare candidates by wait

Cause of the refusals and the 0.3 to 0.7 s p99 in steady state: the runs began before the 16 balancers had settled (5.2 s after a cold start of all, printed by a trial), and unsettled owners handed openings round until the hop limit. An unsettled balancer now takes what peers relay to it, and a deployment waits until all balancers see each other.

--- a/core/cmds/admit.go
+++ b/core/cmds/admit.go
@@ -55,7 +55,7 @@
 	case model.KindRequest:
 	}
 	if load := st.Admit.Load(); !r.Forced && load.InFlight+load.Queued >= idleBelow(st) {
-		return Pass{Queue: uint32(load.InFlight + load.Queued)}
+		return Pass{Queue: busyness(load, st.Admit.Wait(it))}
 	}
 	return offer(now, st, r, it, rnd)
 }
@@ -65,6 +65,12 @@
 // the slots in use between a grant and its request.
 func idleBelow(st *table.Upstream) int { return max(st.Health.Slots(), 1) }
 
+// busyness makes candidates comparable: by the time that the opening would
+// wait, in microseconds, then by the requests in flight.
+func busyness(l admit.Load, wait time.Duration) uint32 {
+	return uint32(min(wait.Microseconds()+int64(l.InFlight), Ejected-1))
+}
+
 // openUpload lets an upload begin. Its entry stays until the final request is
 // answered, the client closes the flow, or the deadline passes.
 func openUpload(now time.Time, st *table.Upstream, r input.Relay, it admit.Item) Result {
--- a/core/cmds/result.go
+++ b/core/cmds/result.go
@@ -22,7 +22,8 @@
 
 // Pass means that another candidate should be tried.
 type Pass struct {
-	// Queue is the length of the queue at this candidate.
+	// Queue is how busy this candidate is: the wait in microseconds and the
+	// requests in flight, or Ejected or Unavailable.
 	Queue uint32
 }
 
--- a/core/engine/owner.go
+++ b/core/engine/owner.go
@@ -27,7 +27,7 @@
 		e.missing(w, now, r)
 		return
 	}
-	owner, ok := query.Owner(&e.Tables, pl.Upstream, e.Self.Name)
+	owner, ok := query.Owner(&e.Tables, pl.Upstream, e.Self.Name, r.Hops > 0)
 	if ok && owner.Name != e.Self.Name && r.Hops < input.MaxHops {
 		r.Hops++
 		w.Out.Add(&effect.ToPeer{To: owner.Peer, Relay: r})
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -45,7 +45,8 @@
 	// Forced is set on the last hop: the receiver queues or refuses the
 	// packet and does not pass it on.
 	Forced bool
-	// Best and BestQueue name the candidate with the shortest queue so far.
+	// Best and BestQueue name the least busy candidate so far and how busy it
+	// was.
 	Best      netip.AddrPort
 	BestQueue uint32
 }
--- a/core/query/member.go
+++ b/core/query/member.go
@@ -8,11 +8,13 @@
 )
 
 // Owner returns the balancer that must admit work for an upstream. A balancer
-// that is not settled leaves it to the next one in the hash order, if any.
-func Owner(s *table.Set, u model.Upstream, self string) (model.Balancer, bool) {
+// that is not settled leaves what clients send it to the next one in the hash
+// order, if any; what peers relay to it, it takes, since they hold it for the
+// owner.
+func Owner(s *table.Set, u model.Upstream, self string, relayed bool) (model.Balancer, bool) {
 	m := s.Members()
 	b, ok := m.Owner(u)
-	if ok && b.Name == self && !s.Settled() && m.Len() > 1 {
+	if ok && b.Name == self && !relayed && !s.Settled() && m.Len() > 1 {
 		return m.Without(self).Owner(u)
 	}
 	return b, ok
--- a/io/emul/fleet/deploy.go
+++ b/io/emul/fleet/deploy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"egretdock/core/model"
 	"egretdock/io/emul/cases"
@@ -34,7 +35,36 @@
 		}
 	}
 	f.Configure(cfg)
-	return f.AwaitRevision(ctx, cfg.Revision)
+	if err := f.AwaitRevision(ctx, cfg.Revision); err != nil {
+		return err
+	}
+	return f.AwaitMembers(ctx)
+}
+
+// membersCheck is the interval at which AwaitMembers looks again.
+const membersCheck = 50 * time.Millisecond
+
+// AwaitMembers waits until all live balancers see each other and nobody else.
+// Processes without membership count as ready.
+func (f *Fleet) AwaitMembers(ctx context.Context) error {
+	t := time.NewTicker(membersCheck)
+	defer t.Stop()
+	for {
+		bs, ready := f.list(), true
+		for _, b := range bs {
+			if m, ok := b.Process.(interface{ Sees(n int) bool }); ok {
+				ready = ready && m.Sees(len(bs))
+			}
+		}
+		if ready {
+			return nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 func (f *Fleet) addUpstreams(c cases.Case, s cases.Service, seed uint64) ([]model.Upstream, error) {
