--- a/core/admit/upstream_test.go
+++ b/core/admit/upstream_test.go
@@ -243,9 +243,10 @@
 func TestPriorityAndWeight(t *testing.T) {
 	u := filled()
 	urgent := opening("b", 100)
-	urgent.Class.Name, urgent.Class.Priority = "urgent", 9
+	urgent.Class = model.Class{Name: "urgent", Priority: 9}
 	u.Offer(testStart, urgent, newRand())
 	u.classes[0].model.MinShare = 0
+	u.classes[1].used = 100
 	u.Finish(testStart, Key{Flow: 1}, Abandoned{})
 	if it, ok := u.Pop(testStart); !ok || it.Key != urgent.Key {
 		t.Errorf("Pop = %v, %v, want the urgent item", it.Key, ok)
@@ -254,13 +255,35 @@
 	heavy.Weight = 100
 	for i := range uint64(10) {
 		heavy.Key.Flow = 200 + i
-		u.Offer(testStart, heavy, newRand())
+		if _, ok := u.Offer(testStart, heavy, newRand()).(Queued); !ok {
+			t.Errorf("flow %d of the heavy customer was not queued", heavy.Key.Flow)
+		}
+	}
+	if _, ok := u.Offer(testStart, opening("a", 250), newRand()).(Rejected); !ok {
+		t.Error("a light customer with 6 items displaced a heavy one with 10")
+	}
+	favoured := opening("c", 300)
+	favoured.Class = favoured.Class.WithPriority(200)
+	u.Offer(testStart, favoured, newRand())
+	u.classes[0].model.MinShare = 0
+	u.Finish(testStart, Key{Flow: 2}, Abandoned{})
+	if it, ok := u.Pop(testStart); !ok || it.Key != favoured.Key {
+		t.Errorf("Pop = %v, %v, want the item of the customer with the higher priority", it.Key, ok)
 	}
-	for _, d := range u.Expire(testStart) {
-		if d.Item.Customer != "a" {
-			t.Errorf("flow %d of the heavy customer was dropped", d.Item.Key.Flow)
+}
+
+// Guards against refused clients that return together.
+func TestRetryAfterVaries(t *testing.T) {
+	u, rnd := filled(), newRand()
+	seen := make(map[time.Duration]bool)
+	for i := range uint64(10) {
+		if r, ok := u.Offer(testStart, opening("a", 100+i), rnd).(Rejected); ok {
+			seen[r.RetryAfter] = true
 		}
 	}
+	if len(seen) < 9 {
+		t.Errorf("%d different RetryAfter in 10 refusals", len(seen))
+	}
 }
 
 // Guards against estimates that let hopeless work through, or that refuse a
