Announce new incarnations and probe suspects once more

Cause: a refutation, a restart or a departure spread only by the two probes a second, so that some balancers acted on the old state for seconds.

Removal of false suspicions is unlikely, not excluded, from 256 balancers up.

--- a/core/member/cmds.go
+++ b/core/member/cmds.go
@@ -21,7 +21,8 @@
 	s.resume(now, rnd)
 	s.ticked = now
 	s.checkProbes(now, rnd)
-	s.expire(now)
+	s.expire(now, rnd)
+	s.announce(now, rnd)
 	s.probeDue(now, rnd)
 	s.pullDue(now, rnd)
 	return s.flush()
@@ -87,6 +88,7 @@
 // stays reachable until then.
 func (s *State) Leave(time.Time) {
 	s.setSelf(s.self, true)
+	s.announced = false
 	s.flush()
 }
 
@@ -114,7 +116,7 @@
 
 // join starts to catch up with the fleet.
 func (s *State) join(now time.Time) {
-	s.joined, s.agreed, s.ready = now, now, false
+	s.joined, s.agreed, s.ready, s.announced = now, now, false, false
 	s.startSync(now, true)
 }
 
@@ -175,7 +177,7 @@
 func (s *State) deadline(now time.Time, status Status) time.Time {
 	switch status {
 	case StatusSuspect:
-		return now.Add(s.cfg.SuspicionTimeout)
+		return now.Add(s.cfg.SuspicionTimeout - s.cfg.FinalProbe)
 	case StatusLeaving:
 		return now.Add(s.cfg.LeaveTimeout)
 	case StatusDead:
@@ -195,11 +197,12 @@
 	}
 	if n > s.self.Incarnation || n == s.self.Incarnation && u.Status > mine {
 		s.setSelf(s.self.WithIncarnation(n+1), s.left)
+		s.announced = false
 	}
 }
 
 // expire acts on the records whose deadline has passed.
-func (s *State) expire(now time.Time) {
+func (s *State) expire(now time.Time, rnd *rand.Rand) {
 	names := s.timed
 	s.timed = nil
 	for _, name := range names {
@@ -208,6 +211,8 @@
 		case r.deadline.IsZero():
 		case now.Before(r.deadline):
 			s.timed = append(s.timed, name)
+		case r.status == StatusSuspect && !r.finalSent:
+			s.finalProbe(now, r, rnd)
 		case r.status == StatusSuspect:
 			s.apply(now, Update{Balancer: r.balancer, Status: StatusDead})
 		case r.status == StatusLeaving:
--- a/core/member/detect.go
+++ b/core/member/detect.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"egretdock/core/member/probe"
@@ -11,6 +12,15 @@
 // helpers is the number of balancers asked to repeat an unanswered probe.
 const helpers = 2
 
+// finalProbers is the number of balancers in the fleet, on average, that probe
+// a suspect once more before its removal. Their knowledge reaches the others in
+// time, and a suspect in a large fleet is not flooded. When many are suspected
+// at once, a balancer sends no more final probes than ordinary ones.
+const finalProbers = 64
+
+// announceTo is the number of balancers told of a new incarnation at once.
+const announceTo = 8
+
 // remoteEvery is the share of probes that leave the data centre: one in four,
 // so that the traffic between data centres stays a fixed fraction.
 const remoteEvery = 4
@@ -19,7 +29,12 @@
 func (s *State) ping(now time.Time, to model.Balancer, why probe.Purpose) {
 	s.seq++
 	s.pending.Add(probe.Probe{Seq: s.seq, Target: to, Sent: now, Why: why})
-	s.send(to, &Ping{Head: s.head(s.seq, to.Name)})
+	switch why.(type) {
+	case probe.Direct, probe.Contact:
+		s.send(to, &Ping{Head: s.head(s.seq, to.Name)})
+	case probe.Indirect, probe.Relayed:
+		s.send(to, &Ping{Head: s.brief(s.seq, to.Name)})
+	}
 }
 
 // answered ends the probe that an ack belongs to.
@@ -40,7 +55,7 @@
 	repeat, silent := s.pending.Expire(now.Add(-s.cfg.DirectTimeout), now.Add(-s.cfg.ProbeTimeout))
 	for _, p := range repeat {
 		for _, b := range s.pick(helpers, p.Target.Name, rnd) {
-			s.send(b, &PingRequest{Head: s.head(p.Seq, b.Name), Target: p.Target})
+			s.send(b, &PingRequest{Head: s.brief(p.Seq, b.Name), Target: p.Target})
 		}
 	}
 	for _, p := range silent {
@@ -59,6 +74,30 @@
 	s.ping(now, r.balancer, probe.Contact{})
 }
 
+// finalProbe gives a suspect another chance to refute. Its refutation may be on
+// its way through the fleet; the ack brings it directly.
+func (s *State) finalProbe(now time.Time, r record, rnd *rand.Rand) {
+	s.put(r.withFinalProbe(now.Add(s.cfg.FinalProbe)))
+	if rnd.IntN(max(finalProbers, s.view.Len())) < finalProbers && !now.Before(s.nextFinal) {
+		s.nextFinal = now.Add(s.cfg.ProbeInterval)
+		s.ping(now, r.balancer, probe.Contact{})
+	}
+}
+
+// announce tells several balancers at once of the own new incarnation or
+// departure. Ordinary spread alone would let some of them act on an old
+// suspicion or an earlier process for seconds. After a start it waits until the
+// balancer knows whom to tell.
+func (s *State) announce(now time.Time, rnd *rand.Rand) {
+	if s.announced || !s.ready {
+		return
+	}
+	s.announced = true
+	for _, b := range s.pick(announceTo, "", rnd) {
+		s.ping(now, b, probe.Contact{})
+	}
+}
+
 // probeDue sends the probes whose turn has come.
 func (s *State) probeDue(now time.Time, rnd *rand.Rand) {
 	if !now.Before(s.nextProbe) {
@@ -66,20 +105,20 @@
 		if b, ok := s.nextTarget(rnd); ok {
 			s.ping(now, b, probe.Direct{})
 		} else {
-			s.contactLost(now, rnd)
+			s.contactMissing(now, rnd)
 		}
 	}
 	if !now.Before(s.nextContact) {
 		s.nextContact = now.Add(s.cfg.ContactInterval)
-		s.contactLost(now, rnd)
+		s.contactMissing(now, rnd)
 	}
 }
 
 // nextTarget advances to the next live balancer to probe.
 func (s *State) nextTarget(rnd *rand.Rand) (model.Balancer, bool) {
-	for len(s.doubted) > 0 {
-		r := s.records[s.doubted[0]]
-		s.doubted = s.doubted[1:]
+	for len(s.unverified) > 0 {
+		r := s.records[s.unverified[0]]
+		s.unverified = s.unverified[1:]
 		if r.live() {
 			return r.balancer, true
 		}
@@ -96,9 +135,9 @@
 	return s.records[name].balancer, ok
 }
 
-// contactLost pings a listed host that is not live.
-func (s *State) contactLost(now time.Time, rnd *rand.Rand) {
-	if name, ok := s.lost.Next(rnd); ok {
+// contactMissing pings a listed host that is not live.
+func (s *State) contactMissing(now time.Time, rnd *rand.Rand) {
+	if name, ok := s.missing.Next(rnd); ok {
 		if b := s.records[name].balancer; b.Peer.IsValid() {
 			s.ping(now, b, probe.Contact{})
 		}
@@ -122,7 +161,7 @@
 		if b.Name == s.self.Name || b.Name == exclude || s.records[b.Name].status != StatusAlive {
 			continue
 		}
-		if len(out) > 0 && out[0].Name == b.Name {
+		if slices.ContainsFunc(out, func(o model.Balancer) bool { return o.Name == b.Name }) {
 			continue
 		}
 		if out = append(out, b); len(out) == n {
--- a/core/member/failure_test.go
+++ b/core/member/failure_test.go
@@ -252,9 +252,9 @@
 	// Guards against a joining balancer that takes late news for fresh.
 	t.Run("remembered by newcomers", func(t *testing.T) {
 		n := member.New(balancer(99, 4), member.Config{})
-		obit := late
-		obit.Updates = []member.Update{{Balancer: model.Balancer{Name: dead.Name, Incarnation: dead.Incarnation}, Status: member.StatusDead}}
-		n.Receive(f.now, &member.Ping{Head: obit}, f.rnd)
+		news := late
+		news.Updates = []member.Update{{Balancer: model.Balancer{Name: dead.Name, Incarnation: dead.Incarnation}, Status: member.StatusDead}}
+		n.Receive(f.now, &member.Ping{Head: news}, f.rnd)
 		n.Receive(f.now, &member.Ping{Head: late}, f.rnd)
 		if _, ok := n.View().Get(dead.Name); ok {
 			t.Error("the dead balancer is live")
@@ -277,10 +277,10 @@
 	n := f.nodes[0]
 	// Guards against ownership by a host that is listed but does not run.
 	t.Run("listed but silent", func(t *testing.T) {
-		ghost := balancer(50, 4)
-		n.SetHosts(f.now, append(f.hosts[:16:16], ghost))
+		silent := balancer(50, 4)
+		n.SetHosts(f.now, append(f.hosts[:16:16], silent))
 		f.run(10 * time.Second)
-		assertSeen(t, f, ghost.Name, 0)
+		assertSeen(t, f, silent.Name, 0)
 	})
 	// Guards against a lagging list that keeps out a new balancer.
 	t.Run("running but not listed", func(*testing.T) {
--- /dev/null
+++ b/core/member/prop_test.go
@@ -0,0 +1,45 @@
+package member_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+)
+
+// Guards against views that differ for good because news arrived in another
+// order, and against a digest that hides or invents a difference.
+func TestOrderOfNews(t *testing.T) {
+	from := balancer(0, 2)
+	update := rapid.Custom(func(t *rapid.T) member.Update {
+		b := balancer(rapid.IntRange(1, 4).Draw(t, "balancer"), 2)
+		return member.Update{
+			Balancer: b.WithIncarnation(rapid.Uint64Range(1, 4).Draw(t, "incarnation")),
+			Status:   rapid.SampledFrom([]member.Status{member.StatusAlive, member.StatusSuspect, member.StatusLeaving, member.StatusDead}).Draw(t, "status"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(update, 1, 12).Draw(t, "news")
+		hear := func(us []member.Update) (*member.State, uint64) {
+			s := member.New(balancer(9, 2), member.Config{})
+			f := &fleet{}
+			for _, u := range us {
+				s.Receive(f.now, &member.Page{Head: member.Head{From: from, Updates: []member.Update{u}}}, nil)
+			}
+			ack := s.Receive(f.now, &member.Ping{Head: member.Head{From: from}}, nil)[0].Message.(*member.Ack)
+			return s, ack.Digest
+		}
+		a, digestA := hear(news)
+		b, digestB := hear(rapid.Permutation(news).Draw(t, "order"))
+		seen := func(s *member.State) []model.Balancer { return append(s.View().Balancers(), s.View().Leaving()...) }
+		if diff := cmp.Diff(seen(a), seen(b), cmp.Comparer(func(a, b model.Balancer) bool { return a == b })); diff != "" {
+			t.Fatalf("views differ:\n%s", diff)
+		}
+		if digestA != digestB {
+			t.Fatalf("digests differ: %x and %x", digestA, digestB)
+		}
+	})
+}
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -18,6 +18,8 @@
 	// revision is the highest configuration revision that this incarnation
 	// has reported itself.
 	revision uint64
+	// finalSent is set once the time of a suspect's final probe has passed.
+	finalSent bool
 	// deadline is when the status changes without further news; zero if never.
 	deadline time.Time
 }
@@ -30,8 +32,8 @@
 // leaving reports whether the balancer is reachable but owns nothing.
 func (r record) leaving() bool { return r.heard && r.status == StatusLeaving }
 
-// lost reports whether the balancer should be live by the host list but is not.
-func (r record) lost() bool { return r.listed && !r.live() && !r.leaving() }
+// missing reports whether the balancer should be live by the host list but is not.
+func (r record) missing() bool { return r.listed && !r.live() && !r.leaving() }
 
 // supersededBy reports whether an update is newer than the record. A higher
 // incarnation is always newer; within one incarnation the stronger status is.
@@ -69,7 +71,7 @@
 		r.balancer = r.balancer.WithIncarnation(u.Balancer.Incarnation)
 	}
 	r.status = u.Status
-	r.heard = true
+	r.heard, r.finalSent = true, false
 	return r
 }
 
@@ -79,6 +81,12 @@
 	return r
 }
 
+// withFinalProbe returns a copy of a suspect that is removed at the deadline.
+func (r record) withFinalProbe(deadline time.Time) record {
+	r.finalSent = true
+	return r.withDeadline(deadline)
+}
+
 // withRevision returns a copy that has reported a revision.
 func (r record) withRevision(revision uint64) record {
 	r.revision = max(r.revision, revision)
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -37,15 +37,19 @@
 	out         []Send
 
 	// local and remote hold the live balancers of the own and of other data
-	// centres; lost holds the listed hosts that are not live.
-	local, remote, lost order.Ring
-	// doubted balancers are probed out of turn.
-	doubted     []string
+	// centres; missing holds the listed hosts that are not live.
+	local, remote, missing order.Ring
+	// announced is false while peers are to be told of the own incarnation or departure.
+	announced bool
+	// unverified balancers are probed out of turn.
+	unverified  []string
 	turn        uint64
 	seq         uint64
 	pending     probe.Table
 	nextProbe   time.Time
 	nextContact time.Time
+	// nextFinal is when another final probe may be sent.
+	nextFinal time.Time
 
 	sync catchUp
 	// agreed is when a peer last saw the same live balancers.
@@ -108,8 +112,8 @@
 // ring returns the order in which the balancer of a record is probed, or nil.
 func (s *State) ring(r record) *order.Ring {
 	switch {
-	case r.lost():
-		return &s.lost
+	case r.missing():
+		return &s.missing
 	case !r.live():
 		return nil
 	case r.balancer.DataCentre == s.self.DataCentre:
@@ -149,37 +153,37 @@
 	return mix(xxhash.Sum64String(b.Name) + mix(b.Incarnation))
 }
 
-// head starts a message with the news that its receiver needs most.
+// head starts a message with as much news as fits.
 func (s *State) head(seq uint64, to string) Head {
-	h := s.plainHead(seq)
-	h.Updates = s.news(to)
+	h := s.brief(seq, to)
+	for _, name := range s.corrections {
+		if len(h.Updates) < MaxUpdates && name != to {
+			h.Updates = append(h.Updates, s.records[name].update())
+		}
+	}
+	for _, name := range s.queue.Take(MaxUpdates-len(h.Updates), append(s.corrections, to)...) {
+		h.Updates = append(h.Updates, s.records[name].update())
+	}
 	return h
 }
 
-// plainHead starts a message without news.
-func (s *State) plainHead(seq uint64) Head {
-	return Head{Seq: seq, From: s.self, Revision: s.revision, Digest: s.digest}
-}
-
-// news takes up to MaxUpdates updates: the own departure, then what the
-// receiver must refute, then corrections of its last message, then the queue.
-func (s *State) news(to string) []Update {
-	var out []Update
+// brief starts a message with only the own departure and what the receiver
+// must refute. Messages that failures cause are brief, so that many failures
+// at once don't multiply the traffic.
+func (s *State) brief(seq uint64, to string) Head {
+	h := s.plain(seq)
 	if s.left {
-		out = append(out, Update{Balancer: s.self, Status: StatusLeaving})
+		h.Updates = append(h.Updates, Update{Balancer: s.self, Status: StatusLeaving})
 	}
 	if r := s.records[to]; r.heard && r.status != StatusAlive {
-		out = append(out, r.update())
-	}
-	for _, name := range s.corrections {
-		if len(out) < MaxUpdates && name != to {
-			out = append(out, s.records[name].update())
-		}
+		h.Updates = append(h.Updates, r.update())
 	}
-	for _, name := range s.queue.Take(MaxUpdates-len(out), append(s.corrections, to)...) {
-		out = append(out, s.records[name].update())
-	}
-	return out
+	return h
+}
+
+// plain starts a message without news.
+func (s *State) plain(seq uint64) Head {
+	return Head{Seq: seq, From: s.self, Revision: s.revision, Digest: s.digest}
 }
 
 func (s *State) send(to model.Balancer, m Message) { s.out = append(s.out, Send{To: to, Message: m}) }
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -10,9 +10,14 @@
 // pullTimeout is the wait for a page before another balancer is asked.
 const pullTimeout = 300 * time.Millisecond
 
-// maxDoubted bounds the balancers that are probed out of turn, since each one
+// fastGraces bounds the time after a start or a pause during which pages may
+// follow each other on each tick, in units of Config.Grace. A whole fleet of
+// 1,000 that starts at once needs most of it.
+const fastGraces = 4
+
+// maxUnverified bounds the balancers that are probed out of turn, since each one
 // delays the regular order.
-const maxDoubted = 32
+const maxUnverified = 32
 
 // catchUp is the progress of reading a peer's member list page by page. The
 // zero value is idle.
@@ -55,7 +60,7 @@
 		if !s.sync.fast {
 			s.sync.next = now.Add(s.cfg.PageInterval)
 		}
-		s.send(b, &Pull{Head: s.head(s.seq, b.Name), After: s.sync.after})
+		s.send(b, &Pull{Head: s.brief(s.seq, b.Name), After: s.sync.after})
 	}
 }
 
@@ -71,7 +76,7 @@
 		i++
 	}
 	end := min(i+PageUpdates, len(bs))
-	page := &Page{Head: s.plainHead(m.Seq)}
+	page := &Page{Head: s.plain(m.Seq)}
 	for _, b := range bs[i:end] {
 		page.Updates = append(page.Updates, Update{Balancer: b})
 	}
@@ -85,7 +90,7 @@
 func (s *State) readPage(now time.Time, m *Page) {
 	current := s.sync.active && m.Seq == s.sync.seq
 	if current {
-		s.doubt(m)
+		s.queueUnverified(m)
 	}
 	before := s.digest
 	s.learn(now, &m.Head)
@@ -103,7 +108,7 @@
 	s.ready = true
 	s.agreed = now
 	again := s.sync.learned && s.digest != m.Digest
-	fast := s.sync.fast
+	fast := s.sync.fast && now.Sub(s.joined) < fastGraces*s.cfg.Grace
 	s.sync = catchUp{}
 	if again {
 		// Peers that are catching up themselves serve incomplete pages.
@@ -111,20 +116,20 @@
 	}
 }
 
-// doubt has the live balancers probed soon that a page should name but does
+// queueUnverified has the live balancers probed soon that a page should name but does
 // not: they may have died while this balancer was paused.
-func (s *State) doubt(m *Page) {
+func (s *State) queueUnverified(m *Page) {
 	listed := make(map[string]bool, len(m.Updates))
 	for _, u := range m.Updates {
 		listed[u.Balancer.Name] = true
 	}
 	for _, b := range s.view.balancers {
-		if len(s.doubted) == maxDoubted {
+		if len(s.unverified) == maxUnverified {
 			return
 		}
 		if b.Name > s.sync.after && (m.Next == "" || strings.Compare(b.Name, m.Next) <= 0) &&
-			!listed[b.Name] && b.Name != s.self.Name && !slices.Contains(s.doubted, b.Name) {
-			s.doubted = append(s.doubted, b.Name)
+			!listed[b.Name] && b.Name != s.self.Name && !slices.Contains(s.unverified, b.Name) {
+			s.unverified = append(s.unverified, b.Name)
 		}
 	}
 }
--- /dev/null
+++ b/core/member/traffic_test.go
@@ -0,0 +1,211 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/io/gossip"
+)
+
+// budget is the stated bound on control traffic in bytes per second.
+const budget = 3000
+
+// datagram is the size of the IPv4 and UDP headers.
+const datagram = 28
+
+// sizes returns a function that gives the bytes of a message on the network.
+func sizes(t testing.TB) func(member.Message) int {
+	s, err := gossip.NewSealer(make([]byte, 32), 1<<63)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func(m member.Message) int { return len(s.Seal(m)) + datagram }
+}
+
+// single is one balancer that knows n others, and a stand-in for them: they
+// answer each ping and pull, and ping it as often as real ones.
+type single struct {
+	*fleet
+	// every n-th message of the others carries news, as many updates as given.
+	every, news, count int
+}
+
+func newSingle(t testing.TB, n, every, news int) *single {
+	f := &fleet{t: t, now: time.Unix(1_796_371_200, 0), rnd: rand.New(rand.NewPCG(seed, uint64(n))), index: map[string]int{}}
+	for i := range n {
+		f.hosts = append(f.hosts, balancer(i, 14))
+	}
+	f.add(f.hosts[0])
+	f.size = func(member.Message) int { return 0 }
+	s := &single{fleet: f, every: every, news: news}
+	// Repetition empties the queue of the news of the start.
+	for range 40 {
+		for _, b := range f.hosts[1:] {
+			s.hear(&member.Ack{Head: member.Head{From: b}})
+		}
+	}
+	return s
+}
+
+// hear hands a message to the balancer and answers what it sends.
+func (s *single) hear(m member.Message) {
+	n := s.nodes[0]
+	n.received += s.size(m)
+	s.answer(n.Receive(s.now, m, n.rnd))
+}
+
+// head returns the start of a message from a random balancer; its news is of
+// restarts.
+func (s *single) head(seq uint64) member.Head {
+	h := member.Head{Seq: seq, From: s.random(), Revision: 4700, Digest: 1}
+	if s.count++; s.count%s.every == 0 {
+		for range s.news {
+			b := s.random()
+			b.Incarnation++
+			s.hosts[s.find(b.Name)] = b
+			h.Updates = append(h.Updates, member.Update{Balancer: b})
+		}
+	}
+	return h
+}
+
+func (s *single) random() model.Balancer { return s.hosts[1+s.rnd.IntN(len(s.hosts)-1)] }
+
+func (s *single) answer(out []member.Send) {
+	for _, m := range out {
+		s.nodes[0].sent += s.size(m.Message)
+		switch p := m.Message.(type) {
+		case *member.Ping:
+			h := s.head(p.Seq)
+			h.From = s.hosts[s.find(m.To.Name)]
+			s.hear(&member.Ack{Head: h})
+		case *member.Pull:
+			page := &member.Page{Head: member.Head{Seq: p.Seq, From: m.To}}
+			i := s.find(p.After) + 1
+			end := min(i+member.PageUpdates, len(s.hosts))
+			for _, b := range s.hosts[i:end] {
+				page.Updates = append(page.Updates, member.Update{Balancer: b})
+			}
+			if end < len(s.hosts) {
+				page.Next = s.hosts[end-1].Name
+			}
+			s.hear(page)
+		default:
+		}
+	}
+}
+
+func (s *single) find(name string) int {
+	return slices.IndexFunc(s.hosts, func(b model.Balancer) bool { return b.Name == name })
+}
+
+// run advances by a number of ticks; the others ping twice a second and pull a
+// page every other second.
+func (s *single) run(ticks int) {
+	n := s.nodes[0]
+	for i := range ticks {
+		s.now = s.now.Add(tick)
+		s.answer(n.Tick(s.now, n.rnd))
+		if i%10 == 0 {
+			s.hear(&member.Ping{Head: s.head(1)})
+		}
+		if i%40 == 0 {
+			s.hear(&member.Pull{Head: s.head(1), After: s.random().Name})
+		}
+	}
+}
+
+// Guards against control traffic that grows with the fleet or multiplies when
+// much happens at once. The bound counts a message once, at its sender; at the
+// target's churn it holds for sent and received bytes together.
+func TestTraffic(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		every, news int
+		received    bool
+	}{
+		// 1,730 failures and restarts a day are 0.02 per second, and each
+		// makes up to three updates.
+		{"target churn", 100, 1, true},
+		{"each message full of news", 1, member.MaxUpdates, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSingle(t, 1000, tc.every, tc.news)
+			s.run(60 * 20)
+			s.size = sizes(t)
+			s.run(60 * 20)
+			sent, received := s.nodes[0].sent/60, s.nodes[0].received/60
+			t.Logf("sent %d B/s, received %d B/s", sent, received)
+			total := sent
+			if tc.received {
+				total += received
+			}
+			if total > budget {
+				t.Errorf("%d B/s, want at most %d (seed %d)", total, budget, seed)
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSingle(b, n, 100, 1)
+			s.run(20)
+			b.ReportAllocs()
+			b.ResetTimer()
+			s.run(b.N)
+		})
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1000} {
+		for _, news := range []int{0, member.MaxUpdates} {
+			b.Run(fmt.Sprintf("%d/news-%d", n, news), func(b *testing.B) {
+				s := newSingle(b, n, 1, news)
+				s.run(20)
+				b.ReportAllocs()
+				for b.Loop() {
+					s.hear(&member.Ping{Head: s.head(1)})
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkFleet reports the simulated times of a death and a restart, and the
+// traffic per balancer in the minute around them.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				f := start(b, n, min(14, n/4))
+				b.ReportMetric(f.settle(time.Minute).Seconds(), "cold_start_s")
+				f.run(30 * time.Second)
+				f.size = sizes(b)
+				d := f.nodes[3]
+				d.stopped = true
+				begin, name := f.now, d.Self().Name
+				f.await("first removal", time.Minute, func() bool { return f.seenBy(name) < n-1 })
+				b.ReportMetric(f.now.Sub(begin).Seconds(), "first_removal_s")
+				f.await("removal", time.Minute, func() bool { return f.seenBy(name) == 0 })
+				b.ReportMetric(f.now.Sub(begin).Seconds(), "removal_s")
+				again := f.add(d.Self().WithIncarnation(d.Self().Incarnation + 1000))
+				b.ReportMetric(f.await("settled", time.Minute, func() bool { return again.Settled(f.now) }).Seconds(), "settled_s")
+				f.settle(time.Minute)
+				f.run(60*time.Second - f.now.Sub(begin))
+				sent := 0
+				for _, m := range f.nodes {
+					sent += m.sent
+				}
+				b.ReportMetric(float64(sent)/60/float64(n), "B/s")
+			}
+		})
+	}
+}
