Measure the membership traffic of balancers

Since membership is decided by probes, a partition must also cut datagrams between balancers, and the daemon has no hook for that: the scenario partition cuts balancers off from upstreams only.

--- a/io/emul/audit/history.go
+++ b/io/emul/audit/history.go
@@ -28,6 +28,8 @@
 	Phases    []Phase
 	// Upstreams says which service each upstream serves.
 	Upstreams map[string]string
+	// Control holds the balancers that ran from the start to the end of the load.
+	Control []Control
 	// Skipped counts arrivals that found the pool of clients exhausted.
 	Skipped int
 }
@@ -109,6 +111,12 @@
 	At       time.Time
 }
 
+// Control is the control traffic of one balancer.
+type Control struct {
+	Balancer       string
+	BytesPerSecond float64
+}
+
 // Life is the time in which a balancer ran.
 type Life struct {
 	Balancer, DataCentre string
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -225,8 +225,10 @@
 
 // Partition cuts data centres off from the others and from configuration.
 // Packets between balancers and upstreams of the two sides are dropped, and the
-// balancers of each side lose sight of the other. Health endpoints are cut off
-// only from callers whose source address tells their data centre.
+// host list of each side lacks the other. Two things still pass, because the
+// daemon has no place to drop them: datagrams between balancers, and polls of
+// health endpoints by callers whose source address does not tell their data
+// centre.
 func (f *Fleet) Partition(dataCentres ...string) {
 	f.net.cut(dataCentres)
 	f.Announce()
--- a/io/emul/fleet/query.go
+++ b/io/emul/fleet/query.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"egretdock/core/model"
+	"egretdock/io/daemon"
 	"egretdock/io/emul/upstr"
 )
 
@@ -33,6 +34,18 @@
 	return f.cfg
 }
 
+// Control returns the bytes of membership messages, in both directions and
+// without UDP and IP headers, of each live balancer that counts them.
+func (f *Fleet) Control() map[string]int64 {
+	out := make(map[string]int64)
+	for _, b := range f.list() {
+		if d, ok := b.Process.(*daemon.Daemon); ok {
+			out[b.Self().Name] = d.Counters.GossipBytes.Load()
+		}
+	}
+	return out
+}
+
 // Upstream returns a running stand-in, or nil.
 func (f *Fleet) Upstream(name string) *upstr.Server {
 	f.mu.Lock()
--- a/io/emul/load/report.go
+++ b/io/emul/load/report.go
@@ -44,6 +44,10 @@
 	EditInForceSeconds     *Quantiles `json:"edit_in_force_seconds,omitempty"`
 	DrainLastNewWorkSecond *float64   `json:"drain_last_new_work_seconds,omitempty"`
 
+	// ControlBytes is the membership traffic of a balancer in both directions,
+	// without headers; transfers of configuration are not part of it.
+	ControlBytes *Control `json:"control_bytes_per_second,omitempty"`
+
 	LatencyMS map[string]Quantiles `json:"latency_ms"`
 	// Outcomes counts calls by class and outcome.
 	Outcomes map[string]map[string]int `json:"outcomes"`
@@ -56,6 +60,12 @@
 	NotMeasured []string `json:"not_measured"`
 }
 
+// Control is the control traffic of the balancers that ran all the time.
+type Control struct {
+	Mean float64 `json:"mean"`
+	Max  float64 `json:"max"`
+}
+
 // Quantiles of a distribution.
 type Quantiles struct {
 	P50 float64 `json:"p50"`
@@ -100,7 +110,10 @@
 		Outcomes:          outcomes(h),
 		Skipped:           h.Skipped,
 		Invariants:        invariants(h),
-		NotMeasured:       []string{"control_bytes_per_second", "platform_calls_per_second"},
+		NotMeasured:       []string{"platform_calls_per_second"},
+	}
+	if r.ControlBytes = control(h); r.ControlBytes == nil {
+		r.NotMeasured = append(r.NotMeasured, "control_bytes_per_second")
 	}
 	r.EditInForceSeconds = spread(h)
 	if d, ok := audit.DrainLastNewWork(h); ok {
@@ -192,6 +205,18 @@
 	return &q
 }
 
+func control(h *audit.History) *Control {
+	var out Control
+	for _, c := range h.Control {
+		out.Mean += c.BytesPerSecond / float64(len(h.Control))
+		out.Max = max(out.Max, c.BytesPerSecond)
+	}
+	if out.Max == 0 {
+		return nil
+	}
+	return &out
+}
+
 func outcomes(h *audit.History) map[string]map[string]int {
 	out := make(map[string]map[string]int)
 	for _, c := range h.Calls {
--- a/io/emul/load/run.go
+++ b/io/emul/load/run.go
@@ -42,6 +42,7 @@
 	arrivals := Arrivals(cfg.Case, cfg.Script, cfg.Seed)
 	start := time.Now()
 	s.begin(start, cfg.Script)
+	control := s.fleet.Control()
 	// The bound ends a run whose calls do not end by themselves.
 	ctx, cancel := context.WithDeadline(ctx, start.Add(cfg.Script.Length+drainTime))
 	defer cancel()
@@ -54,6 +55,7 @@
 	g.Go(func() error { return s.run(gctx, start, cfg.Script.Steps) })
 	g.Go(func() error { progress(gctx, start, cfg); return nil })
 	err = g.Wait()
+	s.control(control, time.Since(start))
 	s.leaving.Wait()
 	if err == nil {
 		// An edit that is not in force by now is reported by the audit.
@@ -97,3 +99,15 @@
 		h.Phases = append(h.Phases, audit.Phase{Name: audit.PhaseSteady, From: start.Add(warmUp), To: start.Add(steady)})
 	})
 }
+
+// control records the control traffic since an earlier count.
+func (s *stage) control(before map[string]int64, d time.Duration) {
+	after := s.fleet.Control()
+	s.rec.update(func(h *audit.History) {
+		for name, n := range before {
+			if m, ok := after[name]; ok {
+				h.Control = append(h.Control, audit.Control{Balancer: name, BytesPerSecond: float64(m-n) / d.Seconds()})
+			}
+		}
+	})
+}
--- a/io/subcmd/print.go
+++ b/io/subcmd/print.go
@@ -40,6 +40,9 @@
 	if d := r.DrainLastNewWorkSecond; d != nil {
 		p("  last new work %.3f s after a drain began", *d)
 	}
+	if c := r.ControlBytes; c != nil {
+		p("  membership traffic of a balancer %.0f B/s, at most %.0f B/s", c.Mean, c.Max)
+	}
 	for _, c := range slices.Sorted(maps.Keys(r.LatencyMS)) {
 		p("  latency of %s p50 %.1f ms, p99 %.1f ms", c, r.LatencyMS[c].P50, r.LatencyMS[c].P99)
 	}
