Spread each balancer's openings evenly over the candidates

Each balancer now begins with the candidate, of the three, that it sent the fewest openings to of late; no message is needed.

--- a/core/engine/client.go
+++ b/core/engine/client.go
@@ -9,6 +9,7 @@
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/query"
+	"egretdock/core/rank"
 	"egretdock/core/table"
 )
 
@@ -49,12 +50,35 @@
 		return
 	}
 	c := b.Pool.Placement(p.Flow)
-	first := c.At(0)
-	if first == nil {
+	start, ok := e.leastPlaced(&c)
+	if !ok {
 		refuse(w, *p, o, packet.ReasonNoUpstream, time.Second)
 		return
 	}
-	e.toOwner(w, now, input.Relay{Packet: *p, Target: first.Endpoint})
+	e.toOwner(w, now, input.Relay{Packet: *p, Target: c.At(start).Endpoint, Start: uint8(start)})
+}
+
+// leastPlaced returns the place of the ranked candidate that this balancer
+// sent the fewest openings to of late. Each balancer spreads its own openings
+// evenly, which evens out the work of the upstreams without a message.
+func (e *Engine) leastPlaced(c *table.Candidates) (int, bool) {
+	v := e.Tables.View()
+	var best *table.Upstream
+	start := 0
+	for i := range min(rank.Width, c.Len()) {
+		pl, ok := v.Place(c.At(i).Endpoint)
+		if !ok {
+			continue
+		}
+		if best == nil || pl.State.Placed() < best.Placed() {
+			best, start = pl.State, i
+		}
+	}
+	if best == nil {
+		return 0, false
+	}
+	best.CountPlaced()
+	return start, true
 }
 
 // onFlow routes a packet of an established flow. A payload beyond the
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"egretdock/core/cmds"
@@ -27,6 +28,10 @@
 	// Tables is the shared state; the zero value is a balancer that knows
 	// nothing.
 	Tables table.Set
+
+	// faded is when the counts of placed openings were last halved, in
+	// nanoseconds since the Unix epoch.
+	faded atomic.Int64
 }
 
 // Work is what one worker brings to the engine. It must not be shared between
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -18,6 +18,7 @@
 	})
 	e.Tables.Probes.Expire(&w.locks, now)
 	o := e.Tables.Ownership()
+	e.fade(now, o)
 	for _, pl := range o.Mine {
 		if e.sweep(w, now, pl) && pl.Retired == 0 {
 			w.Out.Add(&effect.Poll{Upstream: pl.Upstream})
@@ -31,6 +32,22 @@
 	}
 }
 
+// fadeEvery is the time in which the openings placed by this balancer lose half
+// of their weight. Imbalance is judged over windows of 10 s.
+const fadeEvery = 10 * time.Second
+
+func (e *Engine) fade(now time.Time, o *table.Ownership) {
+	last := e.faded.Load()
+	if now.UnixNano()-last < int64(fadeEvery) || !e.faded.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	for _, list := range [][]*table.Place{o.Mine, o.Others} {
+		for _, pl := range list {
+			pl.State.Fade()
+		}
+	}
+}
+
 // acknowledge lets gossip carry the revision in force once no worker routes by
 // an older one. An endpoint may be given to another service after that.
 func (e *Engine) acknowledge(s *member.State) {
--- a/core/table/pool.go
+++ b/core/table/pool.go
@@ -111,6 +111,16 @@
 	return c.list[i]
 }
 
+// From returns the candidates in the order in which an opening that began at
+// place start tries them: round the first ranked ones, then the spares.
+func (c *Candidates) From(start, tried int) *model.Upstream {
+	ranked := min(rank.Width, c.n)
+	if tried < ranked {
+		return c.At((start + tried) % ranked)
+	}
+	return c.At(tried)
+}
+
 func (c *Candidates) add(p *Pool, flow uint64) {
 	top := p.Ranking.Top(flow)
 	for i := range top.Len() {
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -19,6 +19,9 @@
 	mu locks.Mutex
 	// busy is true while Pending has entries; it is read without the lock.
 	busy atomic.Bool
+	// placed counts the openings that this balancer sent there first; it is
+	// halved at each Fade.
+	placed atomic.Int32
 
 	// Admit is the admission state of the current incarnation.
 	Admit admit.Upstream
@@ -45,6 +48,16 @@
 // Busy reports whether this balancer has work pending at the upstream.
 func (u *Upstream) Busy() bool { return u.busy.Load() }
 
+// Placed returns how many openings this balancer sent there first of late.
+func (u *Upstream) Placed() int32 { return u.placed.Load() }
+
+// CountPlaced counts an opening that this balancer sends there first.
+func (u *Upstream) CountPlaced() { u.placed.Add(1) }
+
+// Fade halves the count of Placed. A count that changes meanwhile may be off by
+// one, which only shifts one choice.
+func (u *Upstream) Fade() { u.placed.Store(u.placed.Load() / 2) }
+
 // Drop removes an entry of Pending.
 func (u *Upstream) Drop(k admit.Key) {
 	if p, ok := u.Pending[k]; ok && p.Upload {
--- a/io/wire/relay.go
+++ b/io/wire/relay.go
@@ -22,6 +22,7 @@
 	relayForced    = 6
 	relayBest      = 7
 	relayBestQueue = 8
+	relayStart     = 9
 )
 
 // AppendRelay encodes a relay behind its authentication tag.
@@ -43,6 +44,7 @@
 	}
 	dst = appendAddrField(dst, relayBest, r.Best)
 	dst = appendVarint(dst, relayBestQueue, uint64(r.BestQueue))
+	dst = appendVarint(dst, relayStart, uint64(r.Start))
 	copy(dst[at:], s.relayTag(dst[at+tagSize:]))
 	return dst
 }
@@ -122,6 +124,8 @@
 		r.Tried = uint8(min(v, math.MaxUint8))
 	case relayHops:
 		r.Hops = uint8(min(v, math.MaxUint8))
+	case relayStart:
+		r.Start = uint8(min(v, math.MaxUint8))
 	case relayForced:
 		r.Forced = v != 0
 	case relayBestQueue:
