--- a/core/engine/prop_test.go
+++ b/core/engine/prop_test.go
@@ -57,7 +57,7 @@
 }
 
 func (c *chaos) open(t *rapid.T) {
-	f := c.memory.flow(rapid.SampledFrom([]netip.AddrPort{orderAddr, feedAddr, planAddr}).Draw(t, "class"))
+	f := c.flow(rapid.SampledFrom([]netip.AddrPort{orderAddr, feedAddr, planAddr}).Draw(t, "class"))
 	f.noToken = rapid.Bool().Draw(t, "no token")
 	f.send(c.balancer(t), &packet.Open{Attempt: 1, Timeout: time.Second})
 	for _, p := range c.inbox[f.id] {
