Begin the load when the balancers see each other

With membership by probes, 16 balancers need 2 to 3 s to see each other. Baselines have no members. A balancer that is retired now leaves through the daemon's own exit.

--- a/io/emul/fleet/deploy.go
+++ b/io/emul/fleet/deploy.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
+	"egretdock/core/fault"
 	"egretdock/core/model"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/upstr"
 )
 
+// joinBound is far above the 2 to 3 s that 16 balancers need to see each other.
+const joinBound = 20 * time.Second
+
 // Deploy starts the balancers and upstreams of an example and waits until its
-// configuration is in force everywhere.
+// configuration is in force everywhere and the balancers see each other.
 func (f *Fleet) Deploy(ctx context.Context, c cases.Case, seed uint64) error {
 	for i := range c.Balancers {
 		name := fmt.Sprintf("b%02d", i+1)
@@ -34,7 +39,15 @@
 		}
 	}
 	f.Configure(cfg)
-	return f.AwaitRevision(ctx, cfg.Revision)
+	if err := f.AwaitRevision(ctx, cfg.Revision); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinBound)
+	defer cancel()
+	if err := f.AwaitMembers(ctx); err != nil {
+		return fault.Wrap(err, fault.KindUnavailable, "balancers do not see each other after "+joinBound.String(), "see the member events of the time line")
+	}
+	return nil
 }
 
 func (f *Fleet) addUpstreams(c cases.Case, s cases.Service, seed uint64) ([]model.Upstream, error) {
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -49,7 +49,8 @@
 	balancers map[string]*balancer
 	upstreams map[string]*upstr.Server
 	cfg       model.Config
-	// changed is closed and replaced when a balancer's configuration changes.
+	// changed is closed and replaced when the configuration or the members of a
+	// balancer change.
 	changed chan struct{}
 }
 
@@ -122,7 +123,8 @@
 
 func (f *Fleet) event(balancer string, e *effect.Event) {
 	f.opts.Events(balancer, e)
-	if e.Name == "config_in_force" {
+	switch e.Name {
+	case "config_in_force", "member_joined", "member_left":
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		close(f.changed)
@@ -139,8 +141,8 @@
 	}
 }
 
-// exitBound ends a balancer that does not finish by itself after it was asked
-// to leave. No request of the examples lasts longer.
+// exitBound ends a balancer that still has work in progress. No request of the
+// examples lasts longer.
 const exitBound = 5 * time.Second
 
 // RetireBalancer asks a balancer to leave and takes it off the list of hosts.
@@ -150,15 +152,19 @@
 	if b == nil {
 		return func() {}
 	}
-	f.push(b, &input.Leave{})
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		switch p := b.Process.(type) {
+		case *daemon.Daemon:
+			p.Leave(exitBound)
+		default:
+			f.push(b, &input.Leave{})
+		}
+	}()
 	f.Announce()
 	return func() {
-		bound := time.NewTimer(exitBound)
-		defer bound.Stop()
-		select {
-		case <-b.done:
-		case <-bound.C:
-		}
+		<-left
 		b.cancel()
 		<-b.done
 	}
--- a/io/emul/fleet/query.go
+++ b/io/emul/fleet/query.go
@@ -55,14 +55,29 @@
 
 // AwaitRevision waits until all live balancers have the revision in force.
 func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64) error {
+	return f.await(ctx, func(bs []*balancer) bool {
+		return !slices.ContainsFunc(bs, func(b *balancer) bool { return b.Revision() < revision })
+	})
+}
+
+// AwaitMembers waits until all live balancers see each other.
+func (f *Fleet) AwaitMembers(ctx context.Context) error {
+	return f.await(ctx, func(bs []*balancer) bool {
+		return !slices.ContainsFunc(bs, func(b *balancer) bool {
+			d, ok := b.Process.(*daemon.Daemon)
+			return ok && len(d.Status().Members) < len(bs)
+		})
+	})
+}
+
+// await waits until ready reports true; it asks after each event that could
+// change the answer.
+func (f *Fleet) await(ctx context.Context, ready func([]*balancer) bool) error {
 	for {
 		f.mu.Lock()
-		changed, ready := f.changed, true
-		for _, b := range f.balancers {
-			ready = ready && b.Revision() >= revision
-		}
+		changed := f.changed
 		f.mu.Unlock()
-		if ready {
+		if ready(f.list()) {
 			return nil
 		}
 		select {
--- a/io/emul/load/script.go
+++ b/io/emul/load/script.go
@@ -259,6 +259,6 @@
 
 // demo is short: an edit, a drain, a lost balancer and a flood.
 func (m *maker) demo() {
-	m.at(0.1, Edit{m.desk}).at(0.15, Drain{m.desk, 1}).lose(0.2, "b01").at(0.45, Retire{"b02"})
+	m.at(0.1, Edit{m.desk}).at(0.15, Drain{m.desk, 1}).lose(0.2, "b01").at(0.5, Retire{"b02"})
 	m.s = m.s.WithFlood(Flood{Class: m.c.Services[0].Work[0].Class, Times: FloodTimes, From: m.share(0.65), To: m.share(0.95)})
 }
