--- a/io/emul/fleet/deploy.go
+++ b/io/emul/fleet/deploy.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"time"
 
+	"egretdock/core/fault"
 	"egretdock/core/model"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/upstr"
 )
 
+// joinBound is far above the 2 to 3 s that 16 balancers need to see each other.
+const joinBound = 20 * time.Second
+
 // Deploy starts the balancers and upstreams of an example and waits until its
-// configuration is in force everywhere.
+// configuration is in force everywhere and the balancers see each other.
 func (f *Fleet) Deploy(ctx context.Context, c cases.Case, seed uint64) error {
 	for i := range c.Balancers {
 		name := fmt.Sprintf("b%02d", i+1)
@@ -38,33 +42,12 @@
 	if err := f.AwaitRevision(ctx, cfg.Revision); err != nil {
 		return err
 	}
-	return f.AwaitMembers(ctx)
-}
-
-// membersCheck is the interval at which AwaitMembers looks again.
-const membersCheck = 50 * time.Millisecond
-
-// AwaitMembers waits until all live balancers see each other and nobody else.
-// Processes without membership count as ready.
-func (f *Fleet) AwaitMembers(ctx context.Context) error {
-	t := time.NewTicker(membersCheck)
-	defer t.Stop()
-	for {
-		bs, ready := f.list(), true
-		for _, b := range bs {
-			if m, ok := b.Process.(interface{ Sees(n int) bool }); ok {
-				ready = ready && m.Sees(len(bs))
-			}
-		}
-		if ready {
-			return nil
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	ctx, cancel := context.WithTimeout(ctx, joinBound)
+	defer cancel()
+	if err := f.AwaitMembers(ctx); err != nil {
+		return fault.Wrap(err, fault.KindUnavailable, "balancers do not see each other after "+joinBound.String(), "see the member events of the time line")
 	}
+	return nil
 }
 
 func (f *Fleet) addUpstreams(c cases.Case, s cases.Service, seed uint64) ([]model.Upstream, error) {
