Run the example deployments through the stand-in platform

Until now the load tool handed configurations to the balancers directly, so its time until an edit is in force (0.3 ms) said nothing about the real path. Each balancer of a deployment is now the whole process: edits are accepted by the platform's log, watched by the lease holders and spread by gossip; partitions drop datagrams between balancers and calls to the platform as well. New scenarios: platform_outage and operators_race; new figures: platform calls.

--- a/io/daemon/app.go
+++ b/io/daemon/app.go
@@ -11,7 +11,9 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"egretdock/core/effect"
 	"egretdock/core/fault"
@@ -46,14 +48,24 @@
 	log      *store.Log
 	logger   *logs.Logger
 	fetch    net.Listener
-	kratos   *kratos.App
 	inputs   chan input.Input
+	status   *admin.Server
+	// fetchServer serves the configuration to other balancers.
+	fetchServer *fetchServer
 	// stopped is closed when the daemon takes no more inputs.
 	stopped chan struct{}
 }
 
+// AppOptions change a balancer process; the zero value is that of production.
+type AppOptions struct {
+	// Events receives the events of the engine besides the log; may be nil.
+	Events func(*effect.Event)
+	// AcceptPeer is that of Config.
+	AcceptPeer func(source netip.Addr) bool
+}
+
 // NewApp binds all sockets of a balancer.
-func NewApp(ctx context.Context, s config.Settings) (*App, error) {
+func NewApp(s config.Settings, o AppOptions) (*App, error) {
 	a := &App{settings: s, inputs: make(chan input.Input), stopped: make(chan struct{})}
 	a.logger = logs.NewLogger(logs.Options{Process: s.Name, DataCentre: s.DataCentre})
 	var err error
@@ -68,31 +80,28 @@
 		},
 		Clients: s.ClientListen[0], Upstreams: s.UpstreamListen, Peers: s.PeerListen,
 		Key: s.FleetKey.Bytes(), Workers: s.Workers, Flows: s.Tables.Flows,
-		Events:  func(e *effect.Event) { a.logger.Write(*e) },
-		Fetch:   func(b model.Balancer, revision uint64) { a.relay.Seen(b.Fetch, revision) },
-		Metrics: registry,
+		Events: func(e *effect.Event) {
+			a.logger.Write(*e)
+			if o.Events != nil {
+				o.Events(e)
+			}
+		},
+		AcceptPeer: o.AcceptPeer,
+		Fetch:      func(b model.Balancer, revision uint64) { a.relay.Seen(b.Fetch, revision) },
+		Metrics:    registry,
 	})
 	if err != nil {
 		_ = a.fetch.Close()
 		return nil, err
 	}
 	a.joinPlatform()
-	status, err := admin.NewServer(admin.Options{Address: s.AdminListen, State: a.daemon, Registry: registry, Events: a.logger.Ring()})
+	a.fetchServer = newFetchServer(a.fetch, a.keeper, s.FleetKey)
+	a.status, err = admin.NewServer(admin.Options{Address: s.AdminListen, State: a.daemon, Registry: registry, Events: a.logger.Ring()})
 	if err != nil {
 		_ = a.fetch.Close()
 		a.daemon.sockets.Close()
 		return nil, err
 	}
-	a.kratos = kratos.New(
-		kratos.Name(s.Name),
-		kratos.Context(ctx),
-		kratos.Server(status, newFetchServer(a.fetch, a.keeper, s.FleetKey), newLoop(a.daemonLoop), newLoop(a.relayLoop), newLoop(a.hostsLoop)),
-		kratos.StopTimeout(leaveLimit+5*time.Second),
-		kratos.BeforeStop(func(context.Context) error {
-			a.daemon.Leave(leaveLimit)
-			return nil
-		}),
-	)
 	return a, nil
 }
 
@@ -143,8 +152,44 @@
 	a.logger.Write(e)
 }
 
-// Run serves until the context ends or a signal arrives, then leaves.
-func (a *App) Run() error { return a.kratos.Run() }
+// Run serves until ctx ends or a signal arrives, then leaves gracefully.
+func (a *App) Run(ctx context.Context) error {
+	app := kratos.New(
+		kratos.Name(a.settings.Name),
+		kratos.Context(ctx),
+		kratos.Server(a.status, a.fetchServer, newLoop(a.daemonLoop), newLoop(a.relayLoop), newLoop(a.hostsLoop)),
+		kratos.StopTimeout(leaveLimit+5*time.Second),
+		kratos.BeforeStop(func(context.Context) error {
+			a.daemon.Leave(leaveLimit)
+			return nil
+		}),
+	)
+	return app.Run()
+}
+
+// Serve serves until ctx ends and then stops at once, as a crash would.
+// Inputs are passed to the engine besides those of the platform.
+func (a *App) Serve(ctx context.Context, inputs <-chan input.Input) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context) error{a.daemonLoop, a.relayLoop, a.hostsLoop} {
+		g.Go(func() error { return run(ctx) })
+	}
+	for _, s := range []transport.Server{a.status, a.fetchServer} {
+		g.Go(func() error { return s.Start(ctx) })
+		context.AfterFunc(ctx, func() { _ = s.Stop(context.Background()) })
+	}
+	g.Go(func() error {
+		for {
+			select {
+			case in := <-inputs:
+				a.push(in)
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	return g.Wait()
+}
 
 // ClientAddr returns the address that clients send to.
 func (a *App) ClientAddr() netip.AddrPort { return a.daemon.ClientAddr() }
--- a/io/daemon/app_test.go
+++ b/io/daemon/app_test.go
@@ -54,7 +54,7 @@
 		set.Seeds = append(set.Seeds, config.Seed{Peer: b.Peer, Fetch: b.Fetch})
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
-	app, err := NewApp(ctx, set)
+	app, err := NewApp(set, AppOptions{})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -64,7 +64,7 @@
 	s.apps[name] = r
 	go func() {
 		defer close(r.done)
-		_ = app.Run()
+		_ = app.Run(ctx)
 	}()
 	s.t.Cleanup(func() { cancel(); <-r.done })
 	return r
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -40,6 +40,9 @@
 	// Fetch is told of a peer with a newer configuration; may be nil. It must
 	// not block.
 	Fetch func(peer model.Balancer, revision uint64)
+	// AcceptPeer reports whether datagrams of a peer are taken; nil takes all.
+	// Emulators use it to cut data centres off from each other.
+	AcceptPeer func(source netip.Addr) bool
 	// Flows bounds the flow cache; 0 selects the default.
 	Flows int
 	// Metrics receives the counters of the data path; may be nil.
@@ -137,7 +140,7 @@
 }
 
 func (d *Daemon) sources() []worker.Source {
-	out := []worker.Source{d.queue, dgram.NewPeers(d.sockets.Peers, d.seal(), d.opener, time.Now, &d.Counters)}
+	out := []worker.Source{d.queue, dgram.NewPeers(d.sockets.Peers, d.seal(), d.opener, dgram.PeerOptions{Now: time.Now, Accept: d.cfg.AcceptPeer}, &d.Counters)}
 	for range max(1, d.cfg.Workers) {
 		out = append(out,
 			dgram.NewClients(d.sockets.Clients, d.seal(), &d.Counters),
--- a/io/dgram/source.go
+++ b/io/dgram/source.go
@@ -94,19 +94,30 @@
 	d      wire.Decoder
 	sealer *wire.Sealer
 	opener *gossip.Opener
-	now    func() time.Time
+	opts   PeerOptions
 	count  *Counters
 	relay  input.FromPeer
 }
 
+// PeerOptions are what a peer source needs from its process.
+type PeerOptions struct {
+	Now func() time.Time
+	// Accept reports whether datagrams of a source are taken; nil takes all.
+	// Emulators use it to cut data centres off from each other.
+	Accept func(source netip.Addr) bool
+}
+
 // NewPeers returns a source for one worker. The opener may be shared.
-func NewPeers(s *Socket, sealer *wire.Sealer, opener *gossip.Opener, now func() time.Time, count *Counters) *Peers {
-	return &Peers{r: newReader(s), sealer: sealer, opener: opener, now: now, count: count}
+func NewPeers(s *Socket, sealer *wire.Sealer, opener *gossip.Opener, opts PeerOptions, count *Counters) *Peers {
+	return &Peers{r: newReader(s), sealer: sealer, opener: opener, opts: opts, count: count}
 }
 
 // Read implements worker.Source.
 func (p *Peers) Read(fn func(input.Input)) error {
-	return p.r.read(func(_ netip.AddrPort, b []byte) {
+	return p.r.read(func(source netip.AddrPort, b []byte) {
+		if p.opts.Accept != nil && !p.opts.Accept(source.Addr()) {
+			return
+		}
 		in, err := p.decode(b)
 		if err != nil {
 			p.count.count(err)
@@ -124,7 +135,7 @@
 	case peerRelay:
 		return &p.relay, p.d.DecodeRelay(b[1:], p.sealer, &p.relay.Relay)
 	case peerGossip:
-		m, err := p.opener.Open(p.now(), b[1:])
+		m, err := p.opener.Open(p.opts.Now(), b[1:])
 		p.count.GossipBytes.Add(int64(len(b)))
 		return &input.Gossip{Message: m}, err
 	default:
--- a/io/emul/audit/history.go
+++ b/io/emul/audit/history.go
@@ -28,6 +28,10 @@
 	Phases    []Phase
 	// Upstreams says which service each upstream serves.
 	Upstreams map[string]string
+	// PlatformCalls is the rate of calls that the platform served.
+	PlatformCalls float64
+	// Races are the outcomes of operators who edited one object at once.
+	Races []Race
 	// Control holds the balancers that ran from the start to the end of the load.
 	Control []Control
 	// Skipped counts arrivals that found the pool of clients exhausted.
@@ -211,3 +215,11 @@
 func (h *History) changed() bool {
 	return len(h.Edits) > 0 || len(faults[Drained](h)) > 0 || len(faults[Retired](h)) > 0
 }
+
+// Race is the outcome of operators who edited one object at once.
+type Race struct {
+	Accepted  int `json:"accepted"`
+	Conflicts int `json:"conflicts"`
+	// Others counts edits that ended in another way.
+	Others int `json:"others"`
+}
--- a/io/emul/fleet/deploy.go
+++ b/io/emul/fleet/deploy.go
@@ -38,8 +38,11 @@
 			cfg = cfg.WithParams(p)
 		}
 	}
-	f.Configure(cfg)
-	if err := f.AwaitRevision(ctx, cfg.Revision); err != nil {
+	revision, err := f.Configure(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	if err := f.AwaitRevision(ctx, revision); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinBound)
--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -28,7 +28,8 @@
 
 // Options change a deployment. The zero value selects real daemons.
 type Options struct {
-	// Start makes a balancer; nil makes a daemon.
+	// Start makes a balancer; nil makes a whole process that gets its
+	// configuration through a stand-in platform.
 	Start func(daemon.Config) (Process, error)
 	// Events receives the events of all balancers; may be nil.
 	Events func(balancer string, e *effect.Event)
@@ -44,6 +45,8 @@
 	key    []byte
 	opts   Options
 	net    network
+	// site is nil when Options.Start is set.
+	site *site
 
 	mu        sync.Mutex
 	balancers map[string]*balancer
@@ -63,9 +66,14 @@
 }
 
 // New returns an empty deployment; Close stops it.
-func New(ctx context.Context, opts Options) *Fleet {
+func New(ctx context.Context, opts Options) (*Fleet, error) {
+	var s *site
 	if opts.Start == nil {
-		opts.Start = func(cfg daemon.Config) (Process, error) { return daemon.New(cfg) }
+		var err error
+		if s, err = newSite(); err != nil {
+			return nil, err
+		}
+		opts.Start = s.start
 	}
 	if opts.Events == nil {
 		opts.Events = func(string, *effect.Event) {}
@@ -73,12 +81,13 @@
 	f := &Fleet{
 		key:       []byte("loopback fleet key, not a secret"),
 		opts:      opts,
+		site:      s,
 		balancers: make(map[string]*balancer),
 		upstreams: make(map[string]*upstr.Server),
 		changed:   make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(ctx)
-	return f
+	return f, nil
 }
 
 // Close stops everything and waits.
@@ -92,6 +101,9 @@
 	for _, u := range f.upstreams {
 		u.Close()
 	}
+	if f.site != nil {
+		f.site.close()
+	}
 }
 
 // AddBalancer starts a balancer and tells all of it.
@@ -100,8 +112,9 @@
 	p, err := f.opts.Start(daemon.Config{
 		Self:    model.Balancer{Name: name, DataCentre: dataCentre, Incarnation: uint64(time.Now().UnixNano())},
 		Clients: bind, Upstreams: bind, Peers: bind,
-		Key:    f.key,
-		Events: func(e *effect.Event) { f.event(name, e) },
+		Key:        f.key,
+		Events:     func(e *effect.Event) { f.event(name, e) },
+		AcceptPeer: func(peer netip.Addr) bool { return !f.net.isCut(bind.Addr(), peer) },
 	})
 	if err != nil {
 		return err
@@ -116,8 +129,12 @@
 	f.balancers[name] = b
 	cfg := f.cfg
 	f.mu.Unlock()
+	if f.site == nil {
+		f.push(b, &input.Configured{Config: cfg})
+	} else {
+		f.site.putHost(p.Self())
+	}
 	f.Announce()
-	f.push(b, &input.Configured{Config: cfg})
 	return nil
 }
 
@@ -216,33 +233,67 @@
 	return model.Upstream{Name: cfg.Name, DataCentre: dataCentre, Endpoint: s.Endpoint(), Health: s.Health()}, nil
 }
 
-// Configure puts a configuration in force on all balancers that are not cut
-// off; the others get it from Heal.
-func (f *Fleet) Configure(cfg model.Config) {
+// Configure edits the configuration until it equals cfg and returns the last
+// revision. With a platform, balancers get it on their own; without, those that
+// are not cut off get it here and the others from Heal.
+func (f *Fleet) Configure(ctx context.Context, cfg model.Config) (uint64, error) {
+	if f.site != nil {
+		var err error
+		if cfg, err = f.site.apply(ctx, f.Config(), cfg); err != nil {
+			return 0, err
+		}
+	}
 	f.mu.Lock()
 	f.cfg = cfg
 	f.mu.Unlock()
+	if f.site != nil {
+		return cfg.Revision, nil
+	}
 	for _, b := range f.list() {
 		if !f.net.isAway(b.dataCentre) {
 			f.push(b, &input.Configured{Config: cfg})
 		}
 	}
+	return cfg.Revision, nil
+}
+
+// Outage makes the platform answer nothing, or ends that.
+func (f *Fleet) Outage(on bool) {
+	if f.site != nil {
+		f.site.platform.Faults.SetDown(on)
+	}
 }
 
-// Partition cuts data centres off from the others and from configuration.
-// Packets between balancers and upstreams of the two sides are dropped, and the
-// host list of each side lacks the other. Two things still pass, because the
-// daemon has no place to drop them: datagrams between balancers, and polls of
-// health endpoints by callers whose source address does not tell their data
-// centre.
+// Partition cuts data centres off from the others and from the platform.
+// Packets between processes of the two sides are dropped, and the host list of
+// each side lacks the other. Polls of health endpoints still pass, since their
+// source address does not tell the data centre of the caller.
 func (f *Fleet) Partition(dataCentres ...string) {
 	f.net.cut(dataCentres)
+	f.cutPlatform()
 	f.Announce()
 }
 
+// cutPlatform lets only one side of a partition reach the platform.
+func (f *Fleet) cutPlatform() {
+	if f.site == nil {
+		return
+	}
+	for _, b := range f.list() {
+		f.site.platform.Faults.Cut(b.Self().Name, f.net.isAway(b.dataCentre))
+	}
+}
+
 // Heal ends a partition.
 func (f *Fleet) Heal() {
 	f.net.cut(nil)
+	f.cutPlatform()
 	f.Announce()
-	f.Configure(f.Config())
+	if f.site != nil {
+		return
+	}
+	cfg := f.Config()
+	for _, b := range f.list() {
+		f.push(b, &input.Configured{Config: cfg})
+	}
 }
--- a/io/emul/fleet/fleet_test.go
+++ b/io/emul/fleet/fleet_test.go
@@ -22,7 +22,10 @@
 func start(t *testing.T, balancers, upstreams int) (*Fleet, *client.Client) {
 	t.Helper()
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	f := New(t.Context(), Options{})
+	f, err := New(t.Context(), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(f.Close)
 	for i := range balancers {
 		if err := f.AddBalancer(fmt.Sprintf("b%02d", i), fmt.Sprintf("dc%d", i%2)); err != nil {
@@ -48,8 +51,14 @@
 		}
 		params = params.WithUpstream(u)
 	}
-	f.Configure(model.Config{}.WithTemplate(tmpl).WithParams(params).WithRevision(1))
-	if err := f.AwaitRevision(t.Context(), 1); err != nil {
+	revision, err := f.Configure(t.Context(), model.Config{}.WithTemplate(tmpl).WithParams(params))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitRevision(t.Context(), revision); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitMembers(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	link, err := client.DialUDP(f.Entry(), 1)
--- a/io/emul/fleet/query.go
+++ b/io/emul/fleet/query.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"egretdock/core/model"
 	"egretdock/io/daemon"
@@ -39,13 +40,26 @@
 func (f *Fleet) Control() map[string]int64 {
 	out := make(map[string]int64)
 	for _, b := range f.list() {
-		if d, ok := b.Process.(*daemon.Daemon); ok {
-			out[b.Self().Name] = d.Counters.GossipBytes.Load()
+		if d, ok := b.Process.(interface{ Daemon() *daemon.Daemon }); ok {
+			out[b.Self().Name] = d.Daemon().Counters.GossipBytes.Load()
 		}
 	}
 	return out
 }
 
+// PlatformCalls returns the calls that the platform served, a waiting watch
+// counted as one.
+func (f *Fleet) PlatformCalls() int {
+	if f.site == nil {
+		return 0
+	}
+	n := 0
+	for _, calls := range f.site.platform.Calls() {
+		n += calls
+	}
+	return n
+}
+
 // Upstream returns a running stand-in, or nil.
 func (f *Fleet) Upstream(name string) *upstr.Server {
 	f.mu.Lock()
@@ -64,12 +78,16 @@
 func (f *Fleet) AwaitMembers(ctx context.Context) error {
 	return f.await(ctx, func(bs []*balancer) bool {
 		return !slices.ContainsFunc(bs, func(b *balancer) bool {
-			d, ok := b.Process.(*daemon.Daemon)
-			return ok && len(d.Status().Members) < len(bs)
+			d, ok := b.Process.(interface{ Daemon() *daemon.Daemon })
+			return ok && !d.Daemon().Sees(len(bs))
 		})
 	})
 }
 
+// awaitCheck is the interval at which await looks again for conditions that no
+// event tells, such as a membership that has settled.
+const awaitCheck = 50 * time.Millisecond
+
 // await waits until ready reports true; it asks after each event that could
 // change the answer.
 func (f *Fleet) await(ctx context.Context, ready func([]*balancer) bool) error {
@@ -82,6 +100,7 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(awaitCheck):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/io/emul/load/run.go
+++ b/io/emul/load/run.go
@@ -42,7 +42,7 @@
 	arrivals := Arrivals(cfg.Case, cfg.Script, cfg.Seed)
 	start := time.Now()
 	s.begin(start, cfg.Script)
-	control := s.fleet.Control()
+	control, calls := s.fleet.Control(), s.fleet.PlatformCalls()
 	// The bound ends a run whose calls do not end by themselves.
 	ctx, cancel := context.WithDeadline(ctx, start.Add(cfg.Script.Length+drainTime))
 	defer cancel()
@@ -56,6 +56,9 @@
 	g.Go(func() error { progress(gctx, start, cfg); return nil })
 	err = g.Wait()
 	s.control(control, time.Since(start))
+	s.rec.update(func(h *audit.History) {
+		h.PlatformCalls = float64(s.fleet.PlatformCalls()-calls) / time.Since(start).Seconds()
+	})
 	s.leaving.Wait()
 	if err == nil {
 		// An edit that is not in force by now is reported by the audit.
--- a/io/emul/load/script.go
+++ b/io/emul/load/script.go
@@ -69,6 +69,15 @@
 // Notice brings the host list and the fabric up to date after Kill.
 type Notice struct{}
 
+// Outage makes the platform answer nothing, or ends that.
+type Outage struct{ On bool }
+
+// Race lets operators edit the template of a service at the same time.
+type Race struct {
+	Service   string
+	Operators int
+}
+
 // Cut cuts data centres off from the others.
 type Cut struct{ DataCentres []string }
 
@@ -86,6 +95,8 @@
 func (Retire) step()  {}
 func (Add) step()     {}
 func (Notice) step()  {}
+func (Outage) step()  {}
+func (Race) step()    {}
 func (Cut) step()     {}
 func (Heal) step()    {}
 
@@ -165,9 +176,6 @@
 // Scenario returns the script of a named scenario over a time of at least 10 s.
 // Times inside it are shares of the length, so that a longer run does the same
 // more slowly.
-//
-// platform_outage and operators_race belong here once the deployment reads its
-// configuration from the platform stand-in.
 func Scenario(name string, c cases.Case, length time.Duration) (Script, error) {
 	if length < 10*time.Second {
 		return Script{}, fault.New(fault.KindInvalid, "a run of "+length.String()+" is too short", "run for at least 10s")
@@ -189,6 +197,11 @@
 		m.flood(c.Services[0].Work[0].Class)
 	case "partition":
 		m.at(0.3, Cut{c.DataCentres[:1]}).at(0.4, Edit{m.desk}).at(0.6, Heal{})
+	case "platform_outage":
+		m.at(0.1, Edit{m.desk}).at(0.3, Outage{true}).lose(0.35, "b01").at(0.4, Drain{m.desk, 1})
+		m.at(0.75, Outage{false}).at(0.8, Edit{m.desk})
+	case "operators_race":
+		m.at(0.3, Race{m.desk, 5}).at(0.5, Race{m.intake, 5}).at(0.7, Edit{m.desk})
 	case "upstream_restart":
 		m.at(0.3, Restart{m.desk, 2}).at(0.5, Restart{m.intake, 2})
 	case "shedding":
--- a/io/emul/load/stage.go
+++ b/io/emul/load/stage.go
@@ -38,7 +38,10 @@
 	}
 	opts := options(cfg.Policy)
 	opts.Events = s.event
-	s.fleet = fleet.New(ctx, opts)
+	var err error
+	if s.fleet, err = fleet.New(ctx, opts); err != nil {
+		return nil, err
+	}
 	for _, sv := range cfg.Case.Services {
 		for i := range sv.Upstreams {
 			s.rec.h.Upstreams[cases.UpstreamName(sv.Template.Name, i+1)] = sv.Template.Name
@@ -113,11 +116,17 @@
 }
 
 // put puts a configuration in force and records the edit.
-func (s *stage) put(cfg model.Config) {
+func (s *stage) put(ctx context.Context, cfg model.Config) error {
 	cfg = cfg.WithRevision(s.fleet.Config().Revision + 1)
-	e := audit.Edit{Revision: cfg.Revision, Accepted: time.Now()}
+	began := time.Now()
+	revision, err := s.fleet.Configure(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	// The time from the operator's command counts, so that it is never too short.
+	e := audit.Edit{Revision: revision, Accepted: began}
 	s.rec.update(func(h *audit.History) { h.Edits = append(h.Edits, e) })
-	s.fleet.Configure(cfg)
+	return nil
 }
 
 // finish fills in what is known only at the end of a run.
--- a/io/emul/load/steps.go
+++ b/io/emul/load/steps.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
+	"egretdock/core/fault"
 	"egretdock/core/model"
 	"egretdock/io/emul/audit"
 	"egretdock/io/emul/cases"
+	"egretdock/io/emul/fleet"
 )
 
 // run does the steps of a script at their times.
@@ -17,7 +20,7 @@
 			return nil
 		}
 		s.line.step(t.Step)
-		if err := s.do(t.Step); err != nil {
+		if err := s.do(ctx, t.Step); err != nil {
 			return err
 		}
 	}
@@ -25,16 +28,16 @@
 }
 
 // do carries out one step.
-func (s *stage) do(step Step) error {
+func (s *stage) do(ctx context.Context, step Step) error {
 	switch st := step.(type) {
 	case Edit:
-		s.edit(st.Service)
+		return s.edit(ctx, st.Service)
 	case Drain:
 		s.drain(cases.UpstreamName(st.Service, st.Index))
 	case Undrain:
 		s.undrain(cases.UpstreamName(st.Service, st.Index))
 	case Replace:
-		return s.replace(st)
+		return s.replace(ctx, st)
 	case Restart:
 		name := cases.UpstreamName(st.Service, st.Index)
 		s.rec.fault(audit.Restarted{Upstream: name, At: time.Now()})
@@ -58,6 +61,10 @@
 	case Notice:
 		s.fleet.Announce()
 		s.relist()
+	case Outage:
+		s.fleet.Outage(st.On)
+	case Race:
+		return s.race(ctx, st)
 	case Cut:
 		s.rec.fault(audit.Cut{DataCentres: st.DataCentres, At: time.Now()})
 		s.fleet.Partition(st.DataCentres...)
@@ -69,11 +76,11 @@
 
 // edit alternates the queue limit of a template's first class between two
 // values.
-func (s *stage) edit(service string) {
+func (s *stage) edit(ctx context.Context, service string) error {
 	cfg := s.fleet.Config()
 	t, ok := cfg.Template(service)
 	if !ok || len(t.Classes) == 0 {
-		return
+		return nil
 	}
 	c := t.Classes[0]
 	if c.QueueLimit == model.DefaultQueueLimit {
@@ -81,7 +88,52 @@
 	} else {
 		c.QueueLimit = model.DefaultQueueLimit
 	}
-	s.put(cfg.WithTemplate(t.WithClass(c)))
+	return s.put(ctx, cfg.WithTemplate(t.WithClass(c)))
+}
+
+// race lets operators edit the same template at the same time, all from the
+// revision that they read before. The edit of one of them is accepted, the
+// others must get a conflict.
+func (s *stage) race(ctx context.Context, r Race) error {
+	cfg := s.fleet.Config()
+	t, ok := cfg.Template(r.Service)
+	if !ok || len(t.Classes) == 0 {
+		return nil
+	}
+	began := time.Now()
+	results := make([]fleet.Edited, r.Operators)
+	var wg sync.WaitGroup
+	for i := range results {
+		c := t.Classes[0]
+		c.QueueLimit = model.DefaultQueueLimit + 1 + i
+		wg.Go(func() { results[i] = s.fleet.EditAs(ctx, fmt.Sprintf("operator-%d", i), cfg.Revision, t.WithClass(c)) })
+	}
+	wg.Wait()
+	s.rec.update(func(h *audit.History) {
+		h.Races = append(h.Races, raceOf(results))
+		for _, e := range results {
+			if e.Err == nil {
+				h.Edits = append(h.Edits, audit.Edit{Revision: e.Revision, Accepted: began})
+			}
+		}
+	})
+	return nil
+}
+
+// raceOf counts the outcomes of operators that edit one object at once.
+func raceOf(results []fleet.Edited) audit.Race {
+	var r audit.Race
+	for _, e := range results {
+		switch {
+		case e.Err == nil:
+			r.Accepted++
+		case fault.KindOf(e.Err) == fault.KindConflict:
+			r.Conflicts++
+		default:
+			r.Others++
+		}
+	}
+	return r
 }
 
 func (s *stage) drain(name string) {
@@ -119,7 +171,7 @@
 
 // replace adds an upstream, takes the old one out of the configuration and
 // drains it, as a rolling change does.
-func (s *stage) replace(st Replace) error {
+func (s *stage) replace(ctx context.Context, st Replace) error {
 	sv, ok := s.c.Service(st.Service)
 	if !ok {
 		return nil
@@ -142,7 +194,9 @@
 			cfg = release(cfg, p, old).WithParams(p.WithUpstream(u).WithoutUpstream(old))
 		}
 	}
-	s.put(cfg)
+	if err := s.put(ctx, cfg); err != nil {
+		return err
+	}
 	s.drain(old)
 	return nil
 }
--- a/io/subcmd/print.go
+++ b/io/subcmd/print.go
@@ -53,7 +53,13 @@
 		p("  %d arrivals were skipped: the load generator was too slow", r.Skipped)
 	}
 	printInvariants(w, r)
-	p("  not measured: %v", r.NotMeasured)
+	p("  platform calls %.1f a second", r.PlatformCalls)
+	for _, race := range r.Races {
+		p("  operators at once: %d accepted, %d conflicts, %d others", race.Accepted, race.Conflicts, race.Others)
+	}
+	if len(r.NotMeasured) > 0 {
+		p("  not measured: %v", r.NotMeasured)
+	}
 }
 
 func printInvariants(w io.Writer, r load.Report) {
--- a/io/subcmd/serve.go
+++ b/io/subcmd/serve.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	app, err := daemon.NewApp(ctx, set)
+	app, err := daemon.NewApp(set, daemon.AppOptions{})
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 			return err
 		}
 	}
-	return app.Run()
+	return app.Run(ctx)
 }
 
 // registerTimeout bounds the entry in the host list.
