Verify a data centre when one of its balancers is silent

Cause: the few probes that leave the data centre met each of 8 unreachable balancers in random order, which could take a round of 24 s in a fleet of 16. Others of the silent balancer's data centre are now probed out of turn.

--- a/core/member/detect.go
+++ b/core/member/detect.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"egretdock/core/member/probe"
@@ -20,6 +21,10 @@
 // announceTo is the number of balancers told of a new incarnation at once.
 const announceTo = 8
 
+// verifyOthers is the number of balancers probed out of turn for each silent
+// one of the same data centre.
+const verifyOthers = 4
+
 // remoteEvery is the share of probes that leave the data centre: one in four,
 // so that the traffic between data centres stays a fixed fraction.
 const remoteEvery = 4
@@ -59,6 +64,27 @@
 	}
 	for _, p := range silent {
 		s.suspect(now, p.Target)
+		s.verifyDataCentre(p.Target, rnd)
+	}
+}
+
+// verifyDataCentre has others of a silent balancer's data centre probed soon,
+// since data centres fail and are cut off as a whole. The own data centre is
+// probed often enough.
+func (s *State) verifyDataCentre(silent model.Balancer, rnd *rand.Rand) {
+	if silent.DataCentre == s.self.DataCentre {
+		return
+	}
+	left := verifyOthers
+	for _, i := range rnd.Perm(s.view.Len()) {
+		b := s.view.balancers[i]
+		if left == 0 || len(s.unverified) == maxUnverified {
+			return
+		}
+		if b.DataCentre == silent.DataCentre && s.records[b.Name].status == StatusAlive && !slices.Contains(s.unverified, b.Name) {
+			s.unverified = append(s.unverified, b.Name)
+			left--
+		}
 	}
 }
 
@@ -115,14 +141,15 @@
 
 // nextTarget advances to the next live balancer to probe.
 func (s *State) nextTarget(rnd *rand.Rand) (model.Balancer, bool) {
-	for len(s.unverified) > 0 {
+	s.turn++
+	// Every other probe keeps to the regular order.
+	for s.turn%2 == 0 && len(s.unverified) > 0 {
 		r := s.records[s.unverified[0]]
 		s.unverified = s.unverified[1:]
-		if r.live() {
+		if r.live() && r.status == StatusAlive {
 			return r.balancer, true
 		}
 	}
-	s.turn++
 	first, second := &s.local, &s.remote
 	if s.turn%remoteEvery == 0 {
 		first, second = second, first
