--- a/core/member/failure_test.go
+++ b/core/member/failure_test.go
@@ -16,9 +16,7 @@
 const removal = 8 * time.Second
 
 // steady returns a fleet of 16 in 4 data centres whose cold start is over.
-func steady(t *testing.T) *fleet { return steadySeed(t, seed) }
-
-func steadySeed(t *testing.T, seed uint64) *fleet {
+func steady(t *testing.T, seed uint64) *fleet {
 	f := start(t, seed, 16, 4)
 	f.settle(removal)
 	f.run(5 * time.Second)
@@ -28,7 +26,7 @@
 // overSeeds runs a test that depends on the order of probes with several seeds.
 func overSeeds(t *testing.T, name string, test func(*testing.T, *fleet)) {
 	for i := range uint64(20) {
-		t.Run(fmt.Sprintf("%s/seed %d", name, seed+i), func(t *testing.T) { test(t, steadySeed(t, seed+i)) })
+		t.Run(fmt.Sprintf("%s/seed %d", name, seed+i), func(t *testing.T) { test(t, steady(t, seed+i)) })
 	}
 }
 
@@ -70,7 +68,7 @@
 func TestFailures(t *testing.T) {
 	// Guards against a dead balancer that keeps its upstreams.
 	t.Run("death", func(t *testing.T) {
-		f := steady(t)
+		f := steady(t, seed)
 		f.nodes[3].stopped = true
 		name := f.nodes[3].Self().Name
 		f.await("removal", removal, func() bool { return f.seenBy(name) == 0 })
@@ -79,7 +77,7 @@
 	// Guards against the removal of a suspect whose refutation is late: 1 s
 	// before the removal it must be asked directly.
 	t.Run("final probe", func(t *testing.T) {
-		f := steady(t)
+		f := steady(t, seed)
 		n, suspect, begin := f.nodes[0], f.nodes[3].Self(), f.now
 		var asked []time.Duration
 		f.cut = func(from, to model.Balancer) bool {
@@ -96,7 +94,7 @@
 	})
 	// Guards against the removal of a balancer that only some can't reach.
 	t.Run("one link down", func(t *testing.T) {
-		f := steady(t)
+		f := steady(t, seed)
 		a, b := f.nodes[0].Self(), f.nodes[4].Self()
 		f.cut = func(from, to model.Balancer) bool {
 			return from.Name == a.Name && to.Name == b.Name || from.Name == b.Name && to.Name == a.Name
@@ -134,7 +132,7 @@
 	// Guards against a restarted process whose clock was behind, so that its
 	// incarnation is lower than the one the fleet knows.
 	t.Run("restart with lower incarnation", func(t *testing.T) {
-		f := steady(t)
+		f := steady(t, seed)
 		b := f.nodes[3].Self()
 		n := f.add(b.WithIncarnation(b.Incarnation - 1000))
 		f.settle(removal)
@@ -182,7 +180,7 @@
 		{"removed", 20 * time.Second, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			f := steady(t)
+			f := steady(t, seed)
 			n := f.nodes[3]
 			before := n.Self()
 			n.paused = true
@@ -206,7 +204,7 @@
 	// than the suspicion timeout: two ticks come before the acks that wait in
 	// its socket.
 	t.Run("short", func(t *testing.T) {
-		f := steady(t)
+		f := steady(t, seed)
 		n := f.nodes[3]
 		f.size = func(m member.Message) int {
 			_, ok := m.(*member.Ping)
@@ -243,7 +241,7 @@
 // Guards against a partition that leaves unreachable balancers as owners, or
 // that does not heal without help.
 func TestPartition(t *testing.T) {
-	f := steady(t)
+	f := steady(t, seed)
 	f.cut = dataCentres(2)
 	var a, b []*node
 	for _, n := range f.nodes {
@@ -263,7 +261,7 @@
 }
 
 func TestStaleNews(t *testing.T) {
-	f := steady(t)
+	f := steady(t, seed)
 	dead := f.nodes[3].Self()
 	f.nodes[3].stopped = true
 	f.await("removal", removal, func() bool { return f.seenBy(dead.Name) == 0 })
@@ -315,7 +313,7 @@
 }
 
 func TestHostList(t *testing.T) {
-	f := steady(t)
+	f := steady(t, seed)
 	n := f.nodes[0]
 	// Guards against ownership by a host that is listed but does not run.
 	t.Run("listed but silent", func(t *testing.T) {
