Serve flows whose upstream was removed before the balancer started

A balancer that started after their upstream had been removed from the parameters did not know its endpoint and answered their packets with a reset, although the route token was authentic. It now takes the endpoint from the token as a removed one of the service of the address, if no service uses it.

A flow without a token is still found only by balancers that saw the removal.

--- a/core/cmds/observe.go
+++ b/core/cmds/observe.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"net/netip"
 	"time"
 
 	"egretdock/core/admit"
@@ -44,6 +45,14 @@
 	})
 }
 
+// Adopt makes an endpoint known that an authentic route names, and reports
+// whether it is known then.
+func Adopt(h *locks.Holder, s *table.Set, ep netip.AddrPort, service string) bool {
+	s.UpdateView(h, func(v *table.View) *table.View { return v.WithRemoved(ep, service) })
+	_, ok := s.View().Place(ep)
+	return ok
+}
+
 // Remember caches the route of a flow without a token.
 func Remember(h *locks.Holder, now time.Time, s *table.Set, k table.FlowKey, r packet.Route) bool {
 	return s.Flows.Put(h, now, k, &r)
--- a/core/engine/client.go
+++ b/core/engine/client.go
@@ -94,6 +94,11 @@
 		e.forward(w, now, kind, p)
 	case query.LookupSearch:
 		e.search(w, now, b, *p, 0)
+	case query.LookupRemoved:
+		if cmds.Adopt(&w.locks, &e.Tables, r.Endpoint, b.Template.Name) {
+			e.claim(w)
+			e.forward(w, now, kind, p)
+		}
 	case query.LookupForeign:
 		w.Out.Add(&effect.Event{Name: "route_refused", Flow: p.Flow, Customer: b.Params.Customer, Upstream: r.Endpoint.String(), Detail: "endpoint is not in the service of the address"})
 		reset(w, *p, packet.ReasonUnknownFlow)
--- a/core/engine/fault_test.go
+++ b/core/engine/fault_test.go
@@ -300,3 +300,24 @@
 	}
 	wantNoForeign(t, m)
 }
+
+// Guards against a flow that breaks when a balancer that started after its
+// upstream was removed gets a packet of it.
+func TestNewBalancerAfterRemoval(t *testing.T) {
+	m := newMemory(t, 3, 4)
+	feed := m.flow(feedAddr).mustOpen(0)
+	order := m.flow(orderAddr).mustOpen(1)
+	rollingReplace(m, 4)
+	m.addBalancer("dc0")
+	fresh := len(m.balancers) - 1
+	t.Run("feed", func(t *testing.T) {
+		feed.send(fresh, &packet.Ack{Seq: 1})
+		wantBody[*packet.Data](t, feed)
+	})
+	t.Run("request", func(t *testing.T) {
+		order.send(fresh, &packet.Request{ID: 1, Attempt: 1})
+		m.finish(order.upstream())
+		wantBody[*packet.Answer](t, order)
+		wantRuns(t, m, order, 1, 1)
+	})
+}
--- a/core/engine/owner.go
+++ b/core/engine/owner.go
@@ -37,13 +37,20 @@
 	e.own(w, now, pl, r)
 }
 
-// missing handles a target that this balancer's view lacks: it may lag behind
-// the sender's revision, or the endpoint left its service.
+// missing handles a target that this balancer's view lacks. It may lag behind
+// the sender's revision, or the endpoint left its service before it started; a
+// packet with a route shows that the sender checked the service.
 func (e *Engine) missing(w *Work, now time.Time, r input.Relay) {
 	if o, ok := r.Packet.Body.(*packet.Open); ok {
 		e.pass(w, now, r, o, cmds.Unavailable)
 		return
 	}
+	b, _, reason := query.Bind(e.Tables.View(), r.Packet.Address)
+	if reason == packet.ReasonNone && r.Packet.Route.Endpoint == r.Target && cmds.Adopt(&w.locks, &e.Tables, r.Target, b.Template.Name) {
+		e.claim(w)
+		e.toOwner(w, now, r)
+		return
+	}
 	w.Out.Add(&effect.Event{Name: "packet_dropped", Flow: r.Packet.Flow, Upstream: r.Target.String(), Detail: "endpoint unknown at this revision"})
 }
 
--- a/core/query/route.go
+++ b/core/query/route.go
@@ -41,6 +41,9 @@
 	// LookupForeign means that the route leads to another service and must
 	// not be followed.
 	LookupForeign
+	// LookupRemoved means that a token names an endpoint that this balancer
+	// has not seen: it left the configuration before the balancer started.
+	LookupRemoved
 )
 
 // Route finds the route of a packet on an established flow: from its token,
@@ -54,7 +57,11 @@
 			return packet.Route{}, LookupSearch
 		}
 	}
-	if pl, ok := v.Place(r.Endpoint); !ok || pl.Service != b.Template.Name {
+	pl, ok := v.Place(r.Endpoint)
+	switch {
+	case !ok:
+		return r, LookupRemoved
+	case pl.Service != b.Template.Name:
 		return packet.Route{}, LookupForeign
 	}
 	return r, LookupRouted
--- a/core/table/view.go
+++ b/core/table/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -68,6 +69,22 @@
 // Places returns all places; users must not modify the map.
 func (v *View) Places() map[netip.AddrPort]*Place { return v.places }
 
+// WithRemoved returns a copy that knows the endpoint of an upstream that left a
+// service before this balancer started. It returns v when the endpoint is known
+// or there are too many of them.
+func (v *View) WithRemoved(ep netip.AddrPort, service string) *View {
+	if _, ok := v.places[ep]; ok || len(v.places) >= MaxPlaces {
+		return v
+	}
+	next := *v
+	next.places = maps.Clone(v.places)
+	next.places[ep] = &Place{
+		Upstream: model.Upstream{Name: ep.String(), Endpoint: ep},
+		Service:  service, Retired: v.Config.Revision, State: &Upstream{},
+	}
+	return &next
+}
+
 // NextView builds the view of cfg. Pools and upstream states are taken over
 // from prev where nothing changed, so that a change costs what it touches.
 func NextView(prev *View, cfg model.Config) *View {
@@ -173,6 +190,9 @@
 // configuration.
 const MaxRetired = 8192
 
+// MaxPlaces bounds all endpoints of a view. The target is 7,100 upstreams.
+const MaxPlaces = 4 * MaxRetired
+
 // retire keeps the places of upstreams that were removed, so that established
 // flows still reach them. An endpoint that another service uses now is not
 // kept. When there are too many, those that left first are forgotten.
