Index owners by data centre; measure a balancer of the target size

Cause: the owner of an upstream was found by hashing the names of all balancers; at the target size a change of the members would take 7,200 times 1,000 hashes. The published view keeps the hashes by data centre.

--- a/core/engine/bench_test.go
+++ b/core/engine/bench_test.go
@@ -8,6 +8,7 @@
 
 	"egretdock/core/engine"
 	"egretdock/core/input"
+	"egretdock/core/member"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/table"
@@ -143,3 +144,44 @@
 		}
 	}
 }
+
+// BenchmarkTarget is a balancer of the target size: 1,000 balancers in 14 data
+// centres and 1,200 customers with 6 upstreams each. It reports the cost of a
+// tick and the memory of all control state.
+func BenchmarkTarget(b *testing.B) {
+	for _, size := range []struct{ balancers, customers int }{{16, 20}, {1000, 1200}} {
+		b.Run(fmt.Sprintf("balancers=%d", size.balancers), func(b *testing.B) {
+			before := heap()
+			bal, now := benchBalancer(1)
+			cfg := model.Config{}.WithTemplate(deskTemplate("order_desk"))
+			for i := range size.customers {
+				p := model.Params{
+					Customer: fmt.Sprintf("c%04d", i), Template: "order_desk",
+					Address: netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}),
+				}
+				for j := range 6 {
+					u := benchUpstream(i*6 + j)
+					u.DataCentre = fmt.Sprintf("dc%d", j%14)
+					p = p.WithUpstream(u)
+				}
+				cfg = cfg.WithParams(p)
+			}
+			bal.step(now, &input.Configured{Config: cfg.WithRevision(2)})
+			for i := range size.balancers {
+				peer := model.Balancer{
+					Name: fmt.Sprintf("peer%04d", i), DataCentre: fmt.Sprintf("dc%d", i%14), Incarnation: 1,
+					Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 9000),
+				}
+				bal.step(now, &input.Gossip{Message: &member.Ping{Head: member.Head{Seq: 1, From: peer}}})
+			}
+			used := float64(heap()-before) / 1e6
+			b.ResetTimer()
+			for b.Loop() {
+				now = now.Add(input.TickInterval)
+				bal.step(now, &input.Tick{})
+			}
+			b.ReportMetric(used, "MB")
+			b.ReportMetric(float64(len(bal.Tables.Ownership().Mine)), "owned")
+		})
+	}
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -18,6 +18,41 @@
 	balancers []model.Balancer
 	// leaving are reachable but own nothing; sorted by name.
 	leaving []model.Balancer
+	// index speeds up Owner; nil when Indexed was not called.
+	index *index
+}
+
+// index holds the hashes of the live balancers' names by data centre.
+type index struct {
+	local map[string][]candidate
+	all   []candidate
+}
+
+// candidate is a balancer that may own an upstream.
+type candidate struct {
+	hash uint64
+	// at is the place in View.balancers.
+	at int
+}
+
+// Indexed returns a copy in which Owner looks only at one data centre. It pays
+// for views that are asked for many owners.
+func (v View) Indexed() View {
+	ix := &index{local: make(map[string][]candidate), all: candidates(v.balancers)}
+	for _, c := range ix.all {
+		dc := v.balancers[c.at].DataCentre
+		ix.local[dc] = append(ix.local[dc], c)
+	}
+	v.index = ix
+	return v
+}
+
+func candidates(bs []model.Balancer) []candidate {
+	out := make([]candidate, len(bs))
+	for i, b := range bs {
+		out[i] = candidate{hash: xxhash.Sum64String(b.Name), at: i}
+	}
+	return out
 }
 
 // NewView returns a view of the given balancers.
@@ -79,28 +114,23 @@
 // among all when that data centre has none. It reports false when no balancer
 // is live.
 func (v View) Owner(u model.Upstream) (model.Balancer, bool) {
-	if b, ok := v.first(u, true); ok {
-		return b, true
+	if v.index == nil {
+		v = v.Indexed()
 	}
-	return v.first(u, false)
-}
-
-func (v View) first(u model.Upstream, local bool) (model.Balancer, bool) {
-	best, found := -1, false
-	var top uint64
-	key := xxhash.Sum64String(u.Name)
-	for i := range v.balancers {
-		b := &v.balancers[i]
-		if local && b.DataCentre != u.DataCentre {
-			continue
-		}
-		if h := mix(key ^ xxhash.Sum64String(b.Name)); !found || h > top {
-			best, top, found = i, h, true
-		}
+	cs := v.index.local[u.DataCentre]
+	if len(cs) == 0 {
+		cs = v.index.all
 	}
-	if !found {
+	if len(cs) == 0 {
 		return model.Balancer{}, false
 	}
+	key := xxhash.Sum64String(u.Name)
+	best, top := cs[0].at, mix(key^cs[0].hash)
+	for _, c := range cs[1:] {
+		if h := mix(key ^ c.hash); h > top {
+			best, top = c.at, h
+		}
+	}
 	return v.balancers[best], true
 }
 
@@ -119,7 +149,7 @@
 // withEdits returns a copy with the edits applied in order. It copies the view
 // once, however many edits there are.
 func (v View) withEdits(edits []edit) View {
-	v.balancers, v.leaving = slices.Clone(v.balancers), slices.Clone(v.leaving)
+	v.balancers, v.leaving, v.index = slices.Clone(v.balancers), slices.Clone(v.leaving), nil
 	for _, e := range edits {
 		v.balancers = place(v.balancers, e.balancer, e.live)
 		v.leaving = place(v.leaving, e.balancer, e.leaving)
