Leave gracefully when serve gets a signal

main cancels the context of serve on SIGTERM. The context of the kratos app was derived from it, so that all sockets closed at once and the balancer announced its leave without serving.

TestServeLeaves fails without the change.

--- a/io/subcmd/serve.go
+++ b/io/subcmd/serve.go
@@ -60,7 +60,9 @@
 	if err != nil {
 		return err
 	}
-	app, err := daemon.NewApp(ctx, set)
+	// The end of the app's context closes all sockets at once. A signal must
+	// start a graceful exit instead, for which kratos listens itself.
+	app, err := daemon.NewApp(context.WithoutCancel(ctx), set)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/io/subcmd/serve_test.go
@@ -0,0 +1,82 @@
+package subcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"egretdock/io/emul/plat"
+)
+
+const serveAdmin = "127.93.0.1:4004"
+
+// Guards against a signal that closes the sockets of a balancer before it has
+// left: its status must say that it is leaving while it does.
+func TestServeLeaves(t *testing.T) {
+	srv := httptest.NewServer(plat.NewServer())
+	defer srv.Close()
+	file := filepath.Join(t.TempDir(), "b1.json")
+	src := fmt.Sprintf(`{"name": "b1", "data_centre": "east", "client_listen": ["127.93.0.1:0"], "upstream_listen": "127.93.0.1:0",
+  "peer_listen": "127.93.0.1:0", "fetch_listen": "127.93.0.1:0", "admin_listen": %q, "platform": [%q], "fleet_key": "a key for the test of serve"}`, serveAdmin, srv.URL)
+	if err := os.WriteFile(file, []byte(src), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := signal.NotifyContext(t.Context(), syscall.SIGTERM)
+	defer stop()
+	exit := make(chan int, 1)
+	go func() {
+		exit <- Main(ctx, []string{"serve", "-settings", file}, Env{Out: io.Discard, Err: os.Stderr})
+	}()
+	awaitStatus(t, exit, func(body string) bool { return body != "" })
+	awaitStatus(t, exit, func(body string) bool {
+		// Sent again each time, since kratos listens only once all servers run.
+		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		return strings.Contains(body, `"leaving": true`)
+	})
+	if code := <-exit; code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// awaitStatus asks for the status until it is as wanted. It fails when the
+// process exits first.
+func awaitStatus(t *testing.T, exit <-chan int, wanted func(body string) bool) {
+	t.Helper()
+	again := time.NewTicker(20 * time.Millisecond)
+	defer again.Stop()
+	for {
+		select {
+		case code := <-exit:
+			t.Fatalf("the balancer exited with %d first", code)
+		case <-again.C:
+			if wanted(statusOf(t.Context())) {
+				return
+			}
+		}
+	}
+}
+
+func statusOf(ctx context.Context) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+serveAdmin+"/status", http.NoBody)
+	if err != nil {
+		return ""
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, _ := io.ReadAll(resp.Body)
+	return string(b)
+}
