--- a/io/subcmd/call.go
+++ b/io/subcmd/call.go
@@ -30,7 +30,7 @@
 
 // Usage implements subcommands.Command.
 func (*Call) Usage() string {
-	return `call -balancers HOST:PORT,... -address IP:PORT [-kind request|feed|upload] [-payload TEXT]
+	return `call -balancers IP:PORT,... -address IP:PORT [-kind request|feed|upload] [-payload TEXT]
 
 Opens a flow to a service address through the balancers. A request prints its
 answer in hexadecimal; a feed prints -count messages; an upload sends -count
