--- a/io/daemon/app.go
+++ b/io/daemon/app.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -154,16 +155,21 @@
 
 // Run serves until ctx ends or a signal arrives, then leaves gracefully.
 func (a *App) Run(ctx context.Context) error {
+	// The end of kratos' own context closes all servers at once, without the
+	// hook that leaves; so the end of ctx asks it to stop instead.
+	var once sync.Once
 	app := kratos.New(
 		kratos.Name(a.settings.Name),
-		kratos.Context(ctx),
+		kratos.Context(context.WithoutCancel(ctx)),
 		kratos.Server(a.status, a.fetchServer, newLoop(a.daemonLoop), newLoop(a.relayLoop), newLoop(a.hostsLoop)),
 		kratos.StopTimeout(leaveLimit+5*time.Second),
 		kratos.BeforeStop(func(context.Context) error {
-			a.daemon.Leave(leaveLimit)
+			once.Do(func() { a.daemon.Leave(leaveLimit) })
 			return nil
 		}),
 	)
+	stop := context.AfterFunc(ctx, func() { _ = app.Stop() })
+	defer stop()
 	return app.Run()
 }
 
