--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -202,7 +202,7 @@
 		return true
 	}
 	if v > math.MaxUint32 {
-		return false
+		return num > fieldPadding // a field of a later version is skipped
 	}
 	switch num {
 	case fieldKind:
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -61,13 +61,14 @@
 
 // AppendWithToken encodes a packet from a client that echoes token.
 func AppendWithToken(dst []byte, p *packet.Packet, token []byte) []byte {
+	at := len(dst)
 	dst = appendHeader(dst, p)
 	if len(token) > 0 {
 		dst = appendBytes(dst, fieldToken, token)
 	}
 	dst = appendBody(dst, p.Body)
 	if _, ok := p.Body.(*packet.Open); ok {
-		dst = pad(dst)
+		dst = appendBytes(dst, fieldPadding, padding[:max(0, MinOpen-(len(dst)-at))])
 	}
 	return dst
 }
@@ -88,14 +89,6 @@
 // padding is the source of the filler of openings.
 var padding [MinOpen]byte
 
-func pad(dst []byte) []byte {
-	const overhead = 4 // two bytes of tag, up to two of length
-	if need := MinOpen - len(dst) - overhead; need > 0 {
-		dst = appendBytes(dst, fieldPadding, padding[:need+overhead])
-	}
-	return dst
-}
-
 func appendHeader(dst []byte, p *packet.Packet) []byte {
 	dst = appendVarint(dst, fieldKind, uint64(kindOf(p.Body)))
 	dst = appendFixed64(dst, fieldFlow, p.Flow)
--- a/io/wire/token.go
+++ b/io/wire/token.go
@@ -56,9 +56,11 @@
 }
 
 // routeTag binds a route to one flow of one service address, so that a token
-// cannot be used for another customer.
+// cannot be used for another customer. The length of the route is part of the
+// tag, because both addresses may have 6 or 18 bytes: without it, the token of
+// an IPv4 service at an IPv6 endpoint fits an IPv6 service at an IPv4 endpoint.
 func (s *Sealer) routeTag(h *packet.Header, route []byte) []byte {
-	s.buf = append(s.buf[:0], 't')
+	s.buf = append(s.buf[:0], 't', byte(len(route)))
 	s.buf = binary.BigEndian.AppendUint64(s.buf, h.Flow)
 	s.buf = appendAddr(s.buf, h.Address)
 	s.buf = append(s.buf, route...)
@@ -86,10 +88,12 @@
 	return binary.BigEndian.AppendUint16(dst, a.Port())
 }
 
+// parseAddr decodes an address. IPv4 addresses in IPv6 form become IPv4, so
+// that equal addresses are equal values.
 func parseAddr(b []byte) (netip.AddrPort, bool) {
 	if len(b) != 6 && len(b) != 18 {
 		return netip.AddrPort{}, false
 	}
 	ip, ok := netip.AddrFromSlice(b[:len(b)-2])
-	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[len(b)-2:])), ok
+	return netip.AddrPortFrom(ip.Unmap(), binary.BigEndian.Uint16(b[len(b)-2:])), ok
 }
