dgram: test sockets; receive large datagrams between balancers

Cause: io/dgram had no tests. They found that the peer socket dropped datagrams above 1,452 bytes without counting them. A relay adds to the client's packet, so a full packet never reached the owner of its upstream; and a page of 20 balancers with the longest names, which gossip allows up to 4,096 bytes, never arrived, so that a new balancer would learn no members. The peer socket now takes a gossip frame of full size, and each socket counts oversize datagrams as malformed.

Against the code before, TestLargePeerDatagrams/relay and /page and TestForeignDatagrams/client/long fail; all pass now.

--- /dev/null
+++ b/io/dgram/dgram_test.go
@@ -0,0 +1,258 @@
+package dgram
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"egretdock/core/effect"
+	"egretdock/core/input"
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/worker"
+	"egretdock/io/gossip"
+	"egretdock/io/wire"
+)
+
+var (
+	key     = []byte("0123456789abcdef")
+	service = netip.MustParseAddrPort("10.1.0.1:7001")
+	from    = model.Balancer{Name: "balancer-1", Incarnation: 1, Peer: service, Fetch: service}
+	same    = cmp.Options{cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }), cmpopts.EquateEmpty()}
+)
+
+// limit ends a test whose datagram does not arrive.
+const limit = 10 * time.Second
+
+// balancer is the sockets, sink and sources of one balancer with one worker.
+type balancer struct {
+	Sockets
+	sink  *Sink
+	count Counters
+	other []effect.Effect
+
+	fromClients, fromUpstreams, fromPeers worker.Source
+}
+
+func start(t *testing.T, ip string) *balancer {
+	t.Helper()
+	listen := func() *Socket {
+		s, err := Listen(netip.AddrPortFrom(netip.MustParseAddr(ip), 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = s.conn.SetDeadline(time.Now().Add(limit))
+		return s
+	}
+	w, err1 := wire.NewSealer(key)
+	g, err2 := gossip.NewSealer(key, 1)
+	o, err3 := gossip.NewOpener(key)
+	if err1 != nil || err2 != nil || err3 != nil {
+		t.Fatal(err1, err2, err3)
+	}
+	b := &balancer{Sockets: Sockets{Clients: listen(), Upstreams: listen(), Peers: listen()}}
+	t.Cleanup(b.Close)
+	b.sink = NewSink(b.Sockets, Seals{Wire: w, Gossip: g}, &b.count, func(e effect.Effect) { b.other = append(b.other, e) })
+	b.fromClients = NewClients(b.Clients, w, &b.count)
+	b.fromUpstreams = NewUpstreams(b.Upstreams, &b.count)
+	b.fromPeers = NewPeers(b.Peers, w, o, time.Now, &b.count)
+	return b
+}
+
+func (b *balancer) send(effects ...effect.Effect) {
+	for _, e := range effects {
+		b.sink.Put(e)
+	}
+	b.sink.Flush()
+}
+
+// read reads from a source until it has passed on want inputs.
+func read(t *testing.T, s worker.Source, want int, fn func(int, input.Input)) {
+	t.Helper()
+	for n := 0; n < want; {
+		was := n
+		if err := s.Read(func(in input.Input) { fn(n, in); n++ }); err != nil || n == was {
+			t.Fatalf("dropped after %d of %d inputs, error %v", n, want, err)
+		}
+	}
+}
+
+func assertReads(t *testing.T, s worker.Source, want input.Input) {
+	t.Helper()
+	read(t, s, 1, func(_ int, got input.Input) {
+		if diff := cmp.Diff(want, got, same); diff != "" {
+			t.Errorf("input differs (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func assertCount(t *testing.T, name string, want, got int64) {
+	t.Helper()
+	if want != got {
+		t.Errorf("%s is %d, want %d", name, got, want)
+	}
+}
+
+// Guards against effects that leave through the wrong socket or encoder, and
+// sources that lose the sender: the engine trusts it.
+func TestEffectsArriveAsInputs(t *testing.T) {
+	for _, ip := range []string{"127.0.0.1", "::1"} {
+		t.Run(ip, func(t *testing.T) {
+			a, b := start(t, ip), start(t, ip)
+			client := b.Upstreams // plays the client
+			h := packet.Header{Flow: 2, Address: service, Client: client.Addr(), Handshake: 5}
+			p := packet.Packet{Header: h, Body: &packet.Data{Seq: 1, Payload: []byte("chunk")}}
+			t.Run("upstream", func(t *testing.T) {
+				a.send(&effect.ToUpstream{To: b.Upstreams.Addr(), Packet: p})
+				assertReads(t, b.fromUpstreams, &input.FromUpstream{Source: a.Upstreams.Addr(), Packet: p})
+			})
+			t.Run("client", func(t *testing.T) {
+				accept := packet.Packet{Header: h, Body: &packet.Accept{}}
+				accept.Route = packet.Route{Endpoint: service, Incarnation: 7}
+				a.send(&effect.ToClient{Packet: accept})
+				buf, tok := make([]byte, MaxDatagram), wire.Decoder{}
+				n, from, err := client.conn.ReadFromUDPAddrPort(buf)
+				if err != nil || from.Port() != a.Clients.Addr().Port() {
+					t.Fatalf("accept from %v, error %v", from, err)
+				}
+				if err := tok.Decode(buf[:n], &packet.Packet{}); err != nil {
+					t.Fatal(err)
+				}
+				deliver(t, client, a.Clients, wire.AppendWithToken(nil, &p, tok.Token()))
+				want := p
+				want.Route = accept.Route
+				assertReads(t, a.fromClients, &input.FromClient{Packet: want})
+			})
+			t.Run("relay", func(t *testing.T) {
+				relay := input.Relay{Packet: p, Target: service, Hops: 2}
+				a.send(&effect.ToPeer{To: b.Peers.Addr(), Relay: relay})
+				assertReads(t, b.fromPeers, &input.FromPeer{Relay: relay})
+			})
+			t.Run("gossip", func(t *testing.T) {
+				m := &member.Ping{Head: member.Head{Seq: 9, From: from}}
+				a.send(&effect.Gossip{To: b.Peers.Addr(), Message: m})
+				assertReads(t, b.fromPeers, &input.Gossip{Message: m})
+				assertCount(t, "bytes", a.count.GossipBytes.Load(), b.count.GossipBytes.Load())
+				assertCount(t, "messages", 1, a.count.GossipMessages.Load())
+			})
+			t.Run("other", func(t *testing.T) {
+				a.send(&effect.Poll{}, &effect.Fetch{}, &effect.Event{})
+				assertCount(t, "other effects", 3, int64(len(a.other)))
+			})
+		})
+	}
+}
+
+func deliver(t *testing.T, from, to *Socket, b []byte) {
+	t.Helper()
+	if _, err := from.conn.WriteToUDPAddrPort(b, to.Addr()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against the loss, between balancers only, of a client's largest packet
+// and of a page of balancers with long names.
+func TestLargePeerDatagrams(t *testing.T) {
+	a := start(t, "127.0.0.1")
+	t.Run("relay", func(t *testing.T) {
+		r := input.Relay{Target: service, Packet: packet.Packet{
+			Header: packet.Header{Flow: 2, Address: service, Client: a.Clients.Addr()},
+			Body:   &packet.Request{ID: 1, Payload: make([]byte, MaxDatagram)},
+		}}
+		p := r.Packet
+		p.Body = &packet.Request{ID: 1}
+		r.Packet.Body.(*packet.Request).Payload = make([]byte, MaxDatagram-3-len(wire.Append(nil, &p)))
+		assertCount(t, "length", MaxDatagram, int64(len(wire.Append(nil, &r.Packet))))
+		a.send(&effect.ToPeer{To: a.Peers.Addr(), Relay: r})
+		assertReads(t, a.fromPeers, &input.FromPeer{Relay: r})
+	})
+	t.Run("page", func(t *testing.T) {
+		long := from
+		long.Name, long.DataCentre = strings.Repeat("b", 64), strings.Repeat("d", 64)
+		m := &member.Page{Head: member.Head{From: from, Updates: slices.Repeat([]member.Update{{Balancer: long}}, member.PageUpdates)}}
+		a.send(&effect.Gossip{To: a.Peers.Addr(), Message: m})
+		assertReads(t, a.fromPeers, &input.Gossip{Message: m})
+	})
+}
+
+// Guards against datagrams that end a source, are decoded in part, or vanish
+// without a trace.
+func TestForeignDatagrams(t *testing.T) {
+	a := start(t, "127.0.0.1")
+	p := packet.Packet{Header: packet.Header{Flow: 2, Address: service}, Body: &packet.Close{}}
+	good := wire.Append(nil, &p)
+	relay := append([]byte{peerRelay}, make([]byte, 40)...)
+	for _, c := range []struct {
+		name                   string
+		to                     *Socket
+		source                 worker.Source
+		b                      []byte
+		malformed, unauthentic int64
+	}{
+		{"client/empty", a.Clients, a.fromClients, nil, 1, 0},
+		{"client/noise", a.Clients, a.fromClients, []byte("noise"), 1, 0},
+		{"client/token", a.Clients, a.fromClients, wire.AppendWithToken(nil, &p, []byte("token")), 0, 1},
+		{"client/long", a.Clients, a.fromClients, append(bytes.Clone(good), make([]byte, MaxDatagram)...), 1, 0},
+		{"upstream/noise", a.Upstreams, a.fromUpstreams, []byte("noise"), 1, 0},
+		{"peer/empty", a.Peers, a.fromPeers, nil, 1, 0},
+		{"peer/packet", a.Peers, a.fromPeers, good, 1, 0},
+		{"peer/relay", a.Peers, a.fromPeers, relay, 0, 1},
+		{"peer/gossip", a.Peers, a.fromPeers, append([]byte{peerGossip}, relay...), 0, 1},
+		{"peer/long", a.Peers, a.fromPeers, make([]byte, maxPeer+1), 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a.count.Malformed.Store(0)
+			a.count.Unauthentic.Store(0)
+			deliver(t, a.Clients, c.to, c.b)
+			if err := c.source.Read(func(in input.Input) { t.Errorf("passed on %v", in) }); err != nil {
+				t.Fatal(err)
+			}
+			assertCount(t, "malformed", c.malformed, a.count.Malformed.Load())
+			assertCount(t, "unauthentic", c.unauthentic, a.count.Unauthentic.Load())
+		})
+	}
+}
+
+// Guards against a datagram that the kernel refuses and that takes the rest of
+// its batch with it, and against batches that are cut or reordered.
+func TestBatchSurvivesUnsendable(t *testing.T) {
+	a, n := start(t, "127.0.0.1"), 3*batchSize+1
+	for i := range n {
+		if i == 1 || i == batchSize+5 {
+			a.sink.Put(&effect.ToUpstream{Packet: packet.Packet{Body: &packet.Close{}}})
+		}
+		a.sink.Put(&effect.ToUpstream{To: a.Upstreams.Addr(), Packet: packet.Packet{
+			Header: packet.Header{Address: service}, Body: &packet.Ack{Seq: uint64(i + 1)},
+		}})
+	}
+	a.sink.Flush()
+	read(t, a.fromUpstreams, n, func(i int, in input.Input) {
+		ack := in.(*input.FromUpstream).Packet.Body.(*packet.Ack)
+		assertCount(t, "sequence", int64(i+1), int64(ack.Seq))
+	})
+	assertCount(t, "failed", 2, int64(a.sink.upstreams.failed))
+}
+
+// Guards against a worker that waits for ever on a socket that is closed, and
+// an address in use that is not reported.
+func TestSocketLife(t *testing.T) {
+	a := start(t, "127.0.0.1")
+	if _, err := Listen(a.Clients.Addr()); err == nil {
+		t.Error("an address in use is bound again")
+	}
+	done := make(chan error, 1)
+	go func() { done <- a.fromClients.Read(func(input.Input) {}) }()
+	a.Close()
+	if err := <-done; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Read() = %v, want %v", err, net.ErrClosed)
+	}
+}
--- a/io/dgram/socket.go
+++ b/io/dgram/socket.go
@@ -9,12 +9,17 @@
 	"golang.org/x/net/ipv4"
 
 	"egretdock/core/fault"
+	"egretdock/io/gossip"
 )
 
 const (
-	// MaxDatagram is the largest datagram in bytes; it fits an Ethernet frame
-	// with IPv6 and UDP headers.
+	// MaxDatagram is the largest datagram of clients and upstreams in bytes; it
+	// fits an Ethernet frame with IPv6 and UDP headers.
 	MaxDatagram = 1452
+	// maxPeer is the largest datagram between balancers in bytes. A relay of a
+	// full packet and a page of long balancer names exceed an Ethernet frame;
+	// IP fragments them.
+	maxPeer = 1 + gossip.MaxFrame
 	// batchSize is the number of datagrams of one system call. Larger batches
 	// do not raise the rate on loopback and delay the first packet.
 	batchSize = 32
@@ -51,16 +56,19 @@
 // Close closes the socket and ends its readers.
 func (s *Socket) Close() error { return s.conn.Close() }
 
-// reader reads batches from a socket.
+// reader reads batches from a socket. Longer datagrams than limit are dropped
+// and counted.
 type reader struct {
 	socket *Socket
+	limit  int
+	count  *Counters
 	msgs   []ipv4.Message
 }
 
-func newReader(s *Socket) *reader {
-	r := &reader{socket: s, msgs: make([]ipv4.Message, batchSize)}
+func newReader(s *Socket, limit int, count *Counters) *reader {
+	r := &reader{socket: s, limit: limit, count: count, msgs: make([]ipv4.Message, batchSize)}
 	for i := range r.msgs {
-		r.msgs[i].Buffers = [][]byte{make([]byte, MaxDatagram+1)}
+		r.msgs[i].Buffers = [][]byte{make([]byte, limit+1)}
 	}
 	return r
 }
@@ -74,7 +82,8 @@
 	for i := range r.msgs[:n] {
 		m := &r.msgs[i]
 		a, ok := m.Addr.(*net.UDPAddr)
-		if !ok || m.N > MaxDatagram {
+		if !ok || m.N > r.limit {
+			r.count.Malformed.Add(1)
 			continue
 		}
 		ap := a.AddrPort()
--- a/io/dgram/source.go
+++ b/io/dgram/source.go
@@ -49,7 +49,7 @@
 
 // NewClients returns a source for one worker.
 func NewClients(s *Socket, sealer *wire.Sealer, count *Counters) *Clients {
-	return &Clients{r: newReader(s), sealer: sealer, count: count}
+	return &Clients{r: newReader(s, MaxDatagram, count), sealer: sealer, count: count}
 }
 
 // Read implements worker.Source.
@@ -73,7 +73,7 @@
 
 // NewUpstreams returns a source for one worker.
 func NewUpstreams(s *Socket, count *Counters) *Upstreams {
-	return &Upstreams{r: newReader(s), count: count}
+	return &Upstreams{r: newReader(s, MaxDatagram, count), count: count}
 }
 
 // Read implements worker.Source.
@@ -101,7 +101,7 @@
 
 // NewPeers returns a source for one worker. The opener may be shared.
 func NewPeers(s *Socket, sealer *wire.Sealer, opener *gossip.Opener, now func() time.Time, count *Counters) *Peers {
-	return &Peers{r: newReader(s), sealer: sealer, opener: opener, now: now, count: count}
+	return &Peers{r: newReader(s, maxPeer, count), sealer: sealer, opener: opener, now: now, count: count}
 }
 
 // Read implements worker.Source.
