--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -1,7 +1,6 @@
 package dgram
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"net/netip"
@@ -134,7 +133,9 @@
 			})
 			t.Run("relay", func(t *testing.T) {
 				relay := input.Relay{Packet: p, Target: service, Hops: 2}
-				a.send(&effect.ToPeer{To: b.Peers.Addr(), Relay: relay})
+				a.sink.Put(&effect.ToPeer{To: b.Peers.Addr(), Relay: relay})
+				assertCount(t, "datagrams for the peer socket", 1, int64(a.sink.peers.n))
+				a.sink.Flush()
 				assertReads(t, b.fromPeers, &input.FromPeer{Relay: relay})
 			})
 			t.Run("gossip", func(t *testing.T) {
@@ -159,19 +160,24 @@
 	}
 }
 
+// sized returns a packet of n bytes, at least 200.
+func sized(t *testing.T, n int) (packet.Packet, []byte) {
+	t.Helper()
+	p := packet.Packet{Header: packet.Header{Flow: 2, Address: service}, Body: &packet.Data{Seq: 1}}
+	const overhead = 3 // tag and length of the payload
+	p.Body = &packet.Data{Seq: 1, Payload: make([]byte, n-len(wire.Append(nil, &p))-overhead)}
+	b := wire.Append(nil, &p)
+	assertCount(t, "length", int64(n), int64(len(b)))
+	return p, b
+}
+
 // Guards against the loss, between balancers only, of a client's largest packet
 // and of a page of balancers with long names.
 func TestLargePeerDatagrams(t *testing.T) {
 	a := start(t, "127.0.0.1")
 	t.Run("relay", func(t *testing.T) {
-		r := input.Relay{Target: service, Packet: packet.Packet{
-			Header: packet.Header{Flow: 2, Address: service, Client: a.Clients.Addr()},
-			Body:   &packet.Request{ID: 1, Payload: make([]byte, MaxDatagram)},
-		}}
-		p := r.Packet
-		p.Body = &packet.Request{ID: 1}
-		r.Packet.Body.(*packet.Request).Payload = make([]byte, MaxDatagram-3-len(wire.Append(nil, &p)))
-		assertCount(t, "length", MaxDatagram, int64(len(wire.Append(nil, &r.Packet))))
+		p, _ := sized(t, MaxDatagram)
+		r := input.Relay{Target: service, Packet: p}
 		a.send(&effect.ToPeer{To: a.Peers.Addr(), Relay: r})
 		assertReads(t, a.fromPeers, &input.FromPeer{Relay: r})
 	})
@@ -190,6 +196,8 @@
 	a := start(t, "127.0.0.1")
 	p := packet.Packet{Header: packet.Header{Flow: 2, Address: service}, Body: &packet.Close{}}
 	good := wire.Append(nil, &p)
+	_, full := sized(t, MaxDatagram)
+	_, over := sized(t, MaxDatagram+1)
 	relay := append([]byte{peerRelay}, make([]byte, 40)...)
 	for _, c := range []struct {
 		name                   string
@@ -201,7 +209,8 @@
 		{"client/empty", a.Clients, a.fromClients, nil, 1, 0},
 		{"client/noise", a.Clients, a.fromClients, []byte("noise"), 1, 0},
 		{"client/token", a.Clients, a.fromClients, wire.AppendWithToken(nil, &p, []byte("token")), 0, 1},
-		{"client/long", a.Clients, a.fromClients, append(bytes.Clone(good), make([]byte, MaxDatagram)...), 1, 0},
+		{"client/long", a.Clients, a.fromClients, over, 1, 0},
+		{"client/cut", a.Clients, a.fromClients, append(full, "rest"...), 1, 0},
 		{"upstream/noise", a.Upstreams, a.fromUpstreams, []byte("noise"), 1, 0},
 		{"peer/empty", a.Peers, a.fromPeers, nil, 1, 0},
 		{"peer/packet", a.Peers, a.fromPeers, good, 1, 0},
@@ -242,6 +251,18 @@
 	assertCount(t, "failed", 2, int64(a.sink.upstreams.failed))
 }
 
+// Guards against an IPv4 sender that a dual-stack socket reports under another
+// address or can't answer.
+func TestDualStack(t *testing.T) {
+	a, b := start(t, "::"), start(t, "127.0.0.1")
+	p, _ := sized(t, 200)
+	to := netip.AddrPortFrom(b.Upstreams.Addr().Addr(), a.Upstreams.Addr().Port())
+	b.send(&effect.ToUpstream{To: to, Packet: p})
+	assertReads(t, a.fromUpstreams, &input.FromUpstream{Source: b.Upstreams.Addr(), Packet: p})
+	a.send(&effect.ToUpstream{To: b.Upstreams.Addr(), Packet: p})
+	assertReads(t, b.fromUpstreams, &input.FromUpstream{Source: to, Packet: p})
+}
+
 // Guards against a worker that waits for ever on a socket that is closed, and
 // an address in use that is not reported.
 func TestSocketLife(t *testing.T) {
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -162,7 +162,7 @@
 			Tried: uint8(n), Hops: uint8(n >> 8), Start: uint8(n >> 16), Forced: n&1 == 1, BestQueue: n,
 		}
 		var d Decoder
-		var got input.Relay
+		got := relay // values of an earlier relay must not remain
 		assertError(t, nil, d.DecodeRelay(s.AppendRelay(nil, &r), peer, &got))
 		assertSame(t, r, got)
 	}))
@@ -243,15 +243,53 @@
 	refuse("divided", s, other, all[18:])
 	// A relay tag over the content of a token, and a token tag over a relay.
 	s.routeTag(&h, tok[:len(tok)-tagSize])
-	content := bytes.Clone(s.buf[1:])
-	refuse("relay tag", s, h, slices.Concat(tok[:len(tok)-tagSize], s.relayTag(content)))
+	content := bytes.Clone(s.buf)
+	refuse("relay tag", s, h, slices.Concat(tok[:len(tok)-tagSize], s.relayTag(content[1:])))
 	t.Run("route tag", func(t *testing.T) {
 		var d Decoder
 		tag := tok[len(tok)-tagSize:]
 		assertError(t, ErrBadToken, d.DecodeRelay(slices.Concat(tag, content), s, &input.Relay{}))
+		assertError(t, ErrBadToken, d.DecodeRelay(slices.Concat(tag, content[1:]), s, &input.Relay{}))
 	})
 }
 
+// Guards against clients that state an incarnation, and tokens that cost bytes
+// or are refused when they are echoed: only an accept with a route has one.
+func TestPacketsWithoutToken(t *testing.T) {
+	s, h := ours(t), header
+	var d Decoder
+	var p packet.Packet
+	assertError(t, nil, d.DecodeClient(Append(nil, &packet.Packet{Header: h, Body: bodies[7]}), six, s, &p))
+	assertSame(t, packet.Route{}, p.Route)
+	h.Route.Endpoint = four
+	for _, sent := range []packet.Packet{{Header: header, Body: bodies[1]}, {Header: h, Body: bodies[6]}} {
+		assertError(t, nil, d.Decode(s.AppendSealed(nil, &sent), &p))
+		assertSame(t, nil, d.Token())
+	}
+}
+
+// Guards against a deadline that becomes none or negative, and counts that wrap
+// and so let a relay pass on for ever.
+func TestLimitsOfNumbers(t *testing.T) {
+	p := packet.Packet{Header: header, Body: &packet.Open{Timeout: 1}}
+	b := Append(nil, &p)
+	p.Body = &packet.Open{Timeout: time.Microsecond}
+	assertDecodes(t, b, p)
+	p.Body = &packet.Open{Timeout: 24 * time.Hour}
+	assertDecodes(t, appendVarint(b, fieldTimeout, math.MaxUint64), p)
+
+	s, r := ours(t), input.Relay{Packet: p}
+	b = s.AppendRelay(nil, &r)[tagSize:]
+	for _, n := range []protowire.Number{relayTried, relayHops, relayBestQueue, relayStart} {
+		b = appendVarint(b, n, 1<<32)
+	}
+	r.Tried, r.Hops, r.BestQueue, r.Start = math.MaxUint8, math.MaxUint8, math.MaxUint32, math.MaxUint8
+	var d Decoder
+	var got input.Relay
+	assertError(t, nil, d.DecodeRelay(slices.Concat(s.relayTag(b), b), s, &got))
+	assertSame(t, r, got)
+}
+
 // Guards against relays that no balancer of the fleet wrote.
 func TestForgedRelays(t *testing.T) {
 	s, r := ours(t), relay
@@ -289,6 +327,7 @@
 	for name, b := range map[string][]byte{
 		"no kind":      appendAddrField(nil, fieldAddress, four),
 		"unknown kind": appendVarint(appendAddrField(nil, fieldAddress, four), fieldKind, uint64(kindReset)+1),
+		"long client":  appendBytes(Append(nil, &packet.Packet{Header: header, Body: bodies[8]}), fieldClient, padding[:7]),
 		"long address": appendBytes(Append(nil, &packet.Packet{Header: header, Body: bodies[8]}), fieldAddress, padding[:7]),
 		"cut payload":  append(Append(nil, &packet.Packet{Header: header, Body: bodies[8]}), fieldPayload<<3|2, 9, 'x'),
 		"open group":   append(Append(nil, &packet.Packet{Header: header, Body: bodies[8]}), 20<<3&0x7f|3|0x80, 1),
