Never reset a flow on a guess; find requests without a token at their owner

Traces of the property test, which now rejects any reset of a flow that its upstream holds, showed three ways: - a balancer whose search ended answered with a reset, although it only lagged behind the revision that added the upstream; it now drops the packet, and the client's next copy reaches another balancer; - the reset of an upstream that was only a guess reached the client; a reset now says whether the packet named an incarnation, and only such a one is passed on; - the reply to an earlier copy replaced the search by a wrong cached route. Requests without a token also took capacity at candidates that do not hold their flow; they now go to the owner that granted the flow.

--- a/core/cmds/admit.go
+++ b/core/cmds/admit.go
@@ -109,6 +109,21 @@
 	return offer(now, st, r, it, rnd)
 }
 
+// Holds reports whether this balancer has work of a flow pending.
+func Holds(h *locks.Holder, st *table.Upstream, flow uint64) bool {
+	st.Lock(h)
+	defer st.Unlock(h)
+	if _, ok := st.Pending[admit.Key{Flow: flow}]; ok {
+		return true
+	}
+	for k := range st.Pending {
+		if k.Flow == flow {
+			return true
+		}
+	}
+	return false
+}
+
 // repeat handles another copy of work that is already pending. A forwarded
 // packet is forwarded again, because the first copy or its answer may be lost;
 // the upstream runs it once.
--- a/core/engine/client.go
+++ b/core/engine/client.go
@@ -139,16 +139,20 @@
 }
 
 // search tries a packet of unknown route at candidate number tried. The reset
-// of a candidate proves that the flow is not there.
+// of a candidate proves that the flow is not there. A request goes through the
+// owners: first to the one that holds a grant of its flow, if any (seek), else
+// to one candidate after another.
 func (e *Engine) search(w *Work, now time.Time, b *table.Binding, p packet.Packet, tried int) {
 	c := b.Pool.Search(p.Flow)
 	u := c.At(tried)
 	if u == nil {
-		reset(w, p, packet.ReasonUnknownFlow)
+		// No reset: this balancer may lag behind a revision that added the
+		// flow's upstream, and the client's next copy reaches another one.
+		w.Out.Add(&effect.Event{Name: "flow_not_found", Flow: p.Flow, Customer: b.Params.Customer})
 		return
 	}
-	if admitted(p.Body) {
-		e.toOwner(w, now, input.Relay{Packet: p, Target: u.Endpoint, Tried: uint8(tried)})
+	if _, ok := p.Body.(*packet.Request); ok {
+		e.toOwner(w, now, input.Relay{Packet: p, Target: u.Endpoint, Tried: uint8(tried), Forced: tried > 0})
 		return
 	}
 	id, _ := requestOf(p.Body)
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -119,7 +119,7 @@
 func reset(w *Work, p packet.Packet, reason packet.Reason) {
 	id, attempt := requestOf(p.Body)
 	p.Route = packet.Route{}
-	p.Body = &packet.Reset{ID: id, Attempt: attempt, Reason: reason}
+	p.Body = &packet.Reset{ID: id, Attempt: attempt, Reason: reason, Routed: true}
 	w.Out.ToClient(p)
 }
 
--- a/core/engine/fault_test.go
+++ b/core/engine/fault_test.go
@@ -321,3 +321,31 @@
 		wantRuns(t, m, order, 1, 1)
 	})
 }
+
+// Guards against requests without a token that take capacity at upstreams that
+// do not hold their flow, and against a cancel that is answered with a reset
+// there.
+func TestNoTokenFindsItsUpstream(t *testing.T) {
+	m := newMemory(t, 4, 6)
+	for range 12 {
+		f := m.flow(orderAddr)
+		f.noToken = true
+		f.mustOpen(0)
+		f.send(1, &packet.Request{ID: 1, Attempt: 1, Timeout: 5 * time.Second})
+		if n := len(f.upstream().running); n != 1 {
+			t.Fatalf("upstream of the flow runs %d requests, want 1", n)
+		}
+		f.send(2, &packet.Cancel{ID: 1, Attempt: 1, Reason: packet.ReasonCancelled})
+		if _, broken := f.last().(*packet.Reset); broken {
+			t.Fatal("cancel was answered with a reset although the upstream holds the flow")
+		}
+		m.finish(f.upstream())
+		wantBody[*packet.Answer](t, f)
+		f.send(3, &packet.Close{})
+	}
+	for _, u := range m.upstreams {
+		if u.strays != 0 {
+			t.Errorf("%s got %d requests of flows that it does not hold", u.Name, u.strays)
+		}
+	}
+}
--- a/core/engine/memory_test.go
+++ b/core/engine/memory_test.go
@@ -54,7 +54,9 @@
 	running []memRun
 	foreign int
 	// opens counts the openings that arrived.
-	opens   int
+	opens int
+	// strays counts the requests of flows that it does not hold.
+	strays  int
 	service netip.Addr
 }
 
@@ -270,8 +272,12 @@
 		id, attempt := uint64(0), uint32(0)
 		if r, ok := p.Body.(*packet.Request); ok {
 			id, attempt = r.ID, r.Attempt
+			u.strays++
 		}
-		reply(&packet.Reset{ID: id, Attempt: attempt, Reason: packet.ReasonUnknownFlow}, p.Handshake)
+		if r, ok := p.Body.(*packet.Cancel); ok {
+			id, attempt = r.ID, r.Attempt
+		}
+		reply(&packet.Reset{ID: id, Attempt: attempt, Reason: packet.ReasonUnknownFlow, Routed: p.Route.Incarnation != 0}, p.Handshake)
 		return
 	}
 	switch body := p.Body.(type) {
--- a/core/engine/owner.go
+++ b/core/engine/owner.go
@@ -70,6 +70,10 @@
 		it := item(now, b, class, r.Packet.Flow, 0, body.Timeout)
 		e.afterOpen(w, now, r, body, cmds.Open(&w.locks, now, pl.State, r, it, w.Rand))
 	case *packet.Request:
+		if r.Packet.Route.IsZero() && !r.Forced && !cmds.Holds(&w.locks, pl.State, r.Packet.Flow) {
+			e.seek(w, now, b, r)
+			return
+		}
 		it := item(now, b, class, r.Packet.Flow, body.ID, body.Timeout)
 		e.afterRequest(w, r, cmds.Request(&w.locks, now, pl.State, r, it, w.Rand))
 	case *packet.Cancel:
@@ -83,6 +87,20 @@
 	}
 }
 
+// seek hands a request of unknown route to the owner of the next candidate,
+// since this one has no grant of its flow and must not spend capacity on a
+// guess. After the last candidate, they are tried at the upstreams.
+func (e *Engine) seek(w *Work, now time.Time, b *table.Binding, r input.Relay) {
+	c := b.Pool.Search(r.Packet.Flow)
+	r.Tried++
+	if next := c.At(int(r.Tried)); next != nil && r.Tried < rank.Width {
+		r.Target = next.Endpoint
+	} else if first := c.At(0); first != nil {
+		r.Target, r.Tried, r.Forced = first.Endpoint, 0, true
+	}
+	e.toOwner(w, now, r)
+}
+
 func item(now time.Time, b *table.Binding, class model.Class, flow, request uint64, timeout time.Duration) admit.Item {
 	if timeout <= 0 || timeout > defaultTimeout {
 		timeout = defaultTimeout
--- a/core/engine/prop_test.go
+++ b/core/engine/prop_test.go
@@ -173,6 +173,7 @@
 
 func (c *chaos) check(t *rapid.T) {
 	for _, f := range c.flows {
+		c.checkResets(t, f)
 		for id := uint64(1); id <= c.next[f.id]; id++ {
 			c.checkRequest(t, f, id)
 		}
@@ -184,6 +185,17 @@
 	}
 }
 
+func (c *chaos) checkResets(t *rapid.T, f *memFlow) {
+	if c.lost[f.id] {
+		return
+	}
+	for _, p := range c.inbox[f.id] {
+		if b, ok := p.Body.(*packet.Reset); ok {
+			t.Fatalf("flow_survives: flow %d (no token %v) was reset (%s) although %s holds it", f.id, f.noToken, b.Reason, f.upstream().Name)
+		}
+	}
+}
+
 func (c *chaos) checkRequest(t *rapid.T, f *memFlow, id uint64) {
 	runs := 0
 	for _, u := range c.upstreams {
--- a/core/engine/upstream.go
+++ b/core/engine/upstream.go
@@ -41,8 +41,13 @@
 	if !ok {
 		return false
 	}
-	if _, lost := p.Body.(*packet.Reset); lost && pr.Target == p.Route.Endpoint {
-		e.search(w, now, b, pr.Packet, pr.Tried+1)
+	if r, lost := p.Body.(*packet.Reset); lost && !r.Routed {
+		if pr.Target == p.Route.Endpoint {
+			e.search(w, now, b, pr.Packet, pr.Tried+1)
+		} else {
+			// The reply to an earlier copy, whose candidate is done with.
+			e.Tables.Probes.Put(&w.locks, k, pr)
+		}
 		return true
 	}
 	cmds.Remember(&w.locks, now, &e.Tables, k.FlowKey, p.Route)
@@ -67,7 +72,7 @@
 		w.Out.ToClient(*p)
 	case *packet.Reset:
 		key.Request = body.ID
-		e.resetBy(w, now, pl, b, p, key)
+		e.resetBy(w, now, pl, b, p, body, key)
 	case *packet.Open, *packet.Request, *packet.Cancel:
 		w.Out.Add(&effect.Event{Name: "packet_dropped", Flow: p.Flow, Upstream: pl.Upstream.Name, Detail: "upstream sent a packet of a client"})
 	}
@@ -98,16 +103,19 @@
 }
 
 // resetBy handles the word of an upstream that it does not hold a flow. A
-// request whose route was not known is tried at the next candidate.
-func (e *Engine) resetBy(w *Work, now time.Time, pl *table.Place, b *table.Binding, p *packet.Packet, key admit.Key) {
+// request whose route was not known is tried at the next candidate; the client
+// learns of a reset only when the route was known.
+func (e *Engine) resetBy(w *Work, now time.Time, pl *table.Place, b *table.Binding, p *packet.Packet, body *packet.Reset, key admit.Key) {
 	pending, freed := cmds.Refused(&w.locks, now, pl.State, key, packet.ReasonUnknownFlow, p.Route.Incarnation)
 	e.forwardAll(w, freed)
+	if body.Routed {
+		p.Route = packet.Route{}
+		w.Out.ToClient(*p)
+		return
+	}
 	if pending != nil && key.Request != 0 && pending.Relay.Packet.Route.IsZero() {
 		e.search(w, now, b, pending.Relay.Packet, int(pending.Relay.Tried)+1)
-		return
 	}
-	p.Route = packet.Route{}
-	w.Out.ToClient(*p)
 }
 
 func (e *Engine) forwardAll(w *Work, rs []input.Relay) {
--- a/core/packet/body.go
+++ b/core/packet/body.go
@@ -131,6 +131,9 @@
 	ID      uint64
 	Attempt uint32
 	Reason  Reason
+	// Routed is true when the packet named an incarnation, that is when its
+	// route was known and not a guess.
+	Routed bool
 }
 
 func (*Open) body()    {}
--- a/io/daemon/stats.go
+++ b/io/daemon/stats.go
@@ -41,7 +41,7 @@
 // reportable reports whether an event is logged.
 func (s *stats) reportable(e *effect.Event) bool {
 	switch e.Name {
-	case "packet_dropped", "route_refused":
+	case "packet_dropped", "route_refused", "flow_not_found":
 		return s.drops.Allow()
 	default:
 		return true
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -47,7 +47,7 @@
 	address, client          netip.AddrPort
 	handshake                uint32
 	attempt, part, parts     uint32
-	load, reason             uint32
+	load, reason, routed     uint32
 	timeout, retryAfter, seq uint64
 	token, payload           []byte
 }
@@ -125,7 +125,7 @@
 	case kindClose:
 		p.Body = &d.closing
 	case kindReset:
-		d.reset = packet.Reset{ID: f.id, Attempt: f.attempt, Reason: packet.Reason(f.reason)}
+		d.reset = packet.Reset{ID: f.id, Attempt: f.attempt, Reason: packet.Reason(f.reason), Routed: f.routed != 0}
 		p.Body = &d.reset
 	default:
 		return ErrMalformed
@@ -220,6 +220,8 @@
 		f.parts = uint32(v)
 	case fieldLoad:
 		f.load = uint32(v)
+	case fieldRouted:
+		f.routed = uint32(v)
 	}
 	return true
 }
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -44,6 +44,7 @@
 	fieldLoad        = 16
 	fieldSeq         = 17
 	fieldPadding     = 18
+	fieldRouted      = 19
 )
 
 // MinOpen is the least length of an opening in bytes. A reply to an opening is
@@ -157,6 +158,9 @@
 	case *packet.Close:
 	case *packet.Reset:
 		dst = appendRefusal(dst, b.ID, b.Attempt, b.Reason, 0)
+		if b.Routed {
+			dst = appendVarint(dst, fieldRouted, 1)
+		}
 	}
 	return dst
 }
