--- a/io/daemon/app.go
+++ b/io/daemon/app.go
@@ -164,7 +164,10 @@
 		kratos.Server(a.status, a.fetchServer, newLoop(a.daemonLoop), newLoop(a.relayLoop), newLoop(a.hostsLoop)),
 		kratos.StopTimeout(leaveLimit+5*time.Second),
 		kratos.BeforeStop(func(context.Context) error {
-			once.Do(func() { a.daemon.Leave(leaveLimit) })
+			once.Do(func() {
+				a.relay.Resign()
+				a.daemon.Leave(leaveLimit)
+			})
 			return nil
 		}),
 	)
--- a/io/daemon/state.go
+++ b/io/daemon/state.go
@@ -101,8 +101,9 @@
 }
 
 // leaveQuiet is the least time between the announcement and the exit. Probes go
-// out twice a second, so that the news reaches a data centre of 70 in about 3 s.
-const leaveQuiet = 3 * time.Second
+// out twice a second, so that the news reaches a data centre of 70 in about 3 s;
+// the lease of the relay is given up within the same time.
+const leaveQuiet = 4 * time.Second
 
 func (d *Daemon) busy() bool {
 	o := d.engine.Tables.Ownership()
--- a/io/relay/lease.go
+++ b/io/relay/lease.go
@@ -35,12 +35,25 @@
 		if r.o.Fleet.Rank() < contenders && r.acquire(ctx, &t) {
 			r.hold(ctx, &t)
 		}
-		if !r.pause(ctx, renewEvery) {
+		if r.resigned.Load() || !r.pause(ctx, renewEvery) {
 			return
 		}
 	}
 }
 
+// Resign gives the lease up at the next renewal and contends for it no more, so
+// that another balancer need not wait until it lapses.
+func (r *Relay) Resign() { r.resigned.Store(true) }
+
+// release leaves the lease without a holder. A failure only means that it
+// lapses later.
+func (r *Relay) release(ctx context.Context, t *tenure) {
+	free := store.Lease{Fencing: t.lease.Fencing}
+	if _, err := r.o.Log.PutLease(ctx, r.o.Self.DataCentre, free, t.version); err != nil {
+		r.o.Event("platform_failed", "err", err)
+	}
+}
+
 // holder names this process; a process that restarted is another holder.
 func (r *Relay) holder() string { return fmt.Sprintf("%s#%d", r.o.Self.Name, r.o.Self.Incarnation) }
 
@@ -60,7 +73,7 @@
 	switch {
 	case lease.Holder == r.holder():
 		next.Renewals++
-	case version == 0 || begin.Sub(t.since) >= leaseTTL:
+	case version == 0 || lease.Holder == "" || begin.Sub(t.since) >= leaseTTL:
 		next = store.Lease{Holder: r.holder(), Fencing: lease.Fencing + 1}
 	default:
 		return false
@@ -89,7 +102,14 @@
 	for {
 		r.report(ctx, t)
 		r.snapshot(ctx, t)
-		if !r.pause(ctx, renewEvery) || !r.renew(ctx, t) {
+		if !r.pause(ctx, renewEvery) {
+			break
+		}
+		if r.resigned.Load() {
+			r.release(ctx, t)
+			break
+		}
+		if !r.renew(ctx, t) {
 			break
 		}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -81,6 +81,8 @@
 	o Options
 	// holding is the fencing number while this balancer holds the lease, or 0.
 	holding atomic.Uint64
+	// resigned is set when the balancer leaves.
+	resigned atomic.Bool
 	// wake has room for one token: a peer is ahead.
 	wake chan struct{}
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -288,6 +288,26 @@
 	}
 }
 
+// Guards against a data centre without a relay until the lease lapses after its
+// holder left.
+func TestResign(t *testing.T) {
+	s := newSite(t)
+	s.edit(1)
+	a := s.start("a", fleet{acked: map[string]uint64{"a": 1}}, nil)
+	a.reports("relay_started")
+	a.clock.settle()
+	b := s.start("b", fleet{acked: map[string]uint64{"a": 1, "b": 1}}, nil)
+	b.clock.settle()
+	a.Resign()
+	a.clock.advance(renewEvery)
+	a.reports("relay_stopped")
+	b.clock.advance(renewEvery)
+	b.reports("relay_started")
+	if b.Fencing() != 2 {
+		t.Errorf("fencing %d, want 2", b.Fencing())
+	}
+}
+
 // Guards against a fleet that can't restart while the platform is down, and
 // against a start from a peer that is behind.
 func TestStartFromPeers(t *testing.T) {
