--- a/cmd/egretdock/main.go
+++ b/cmd/egretdock/main.go
@@ -7,12 +7,13 @@
 	"os/signal"
 	"syscall"
 
+	"egretdock/io/cmdenv"
 	"egretdock/io/subcmd"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := subcmd.Main(ctx, os.Args[1:], subcmd.DefaultEnv())
+	code := subcmd.Main(ctx, os.Args[1:], cmdenv.DefaultEnv())
 	stop()
 	os.Exit(code)
 }
--- a/core/engine/prop_test.go
+++ b/core/engine/prop_test.go
@@ -26,6 +26,9 @@
 		_ = f.Value.Set("20261204")
 	}
 	_ = flag.Set("rapid.nofailfile", "true")
+	if f := flag.Lookup("rapid.shrinktime"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("2s")
+	}
 	os.Exit(m.Run())
 }
 
--- a/io/subcmd/apply.go
+++ b/io/subcmd/apply.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -39,7 +41,7 @@
   egretdock apply -author ada desk.json
   egretdock apply -author ada -base 57 customers/ann.json
   egretdock apply -author ada -base 57 -delete customer/ann
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 func (c *apply) SetFlags(f *flag.FlagSet) {
@@ -51,7 +53,7 @@
 }
 
 func (c *apply) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.finish(c.Name(), c.run(ctx, f.Args()))
+	return c.Finish(c.Name(), c.run(ctx, f.Args()))
 }
 
 func (c *apply) run(ctx context.Context, paths []string) error {
@@ -139,7 +141,7 @@
 		case s.wanted == nil:
 			changed = append(changed, s)
 		case len(rules.Describe(t.Config.Content(s.object), s.wanted.Content)) == 0:
-			c.print("%s unchanged", s.object)
+			c.Print("%s unchanged", s.object)
 		default:
 			changed, wanted = append(changed, s), append(wanted, *s.wanted)
 		}
@@ -163,7 +165,7 @@
 func (b *base) done(ctx context.Context, log *store.Log, id string) (bool, error) {
 	old, ok, err := log.Find(ctx, id)
 	if ok {
-		b.print("%s: edit %s took effect before, at revision %d", old.Object(), id, old.Revision)
+		b.Print("%s: edit %s took effect before, at revision %d", old.Object(), id, old.Revision)
 	}
 	return ok, err
 }
@@ -179,9 +181,9 @@
 		return fault.Wrap(err, fault.KindOf(err), o.String()+" was not edited", "")
 	}
 	if a.Recovered {
-		b.print("%s: an answer of the platform was lost; reading back shows that the edit took effect", o)
+		b.Print("%s: an answer of the platform was lost; reading back shows that the edit took effect", o)
 	}
-	b.print("%s accepted at revision %d, edit %s", o, a.Change.Revision, change.ID)
+	b.Print("%s accepted at revision %d, edit %s", o, a.Change.Revision, change.ID)
 	return nil
 }
 
--- a/io/subcmd/backout.go
+++ b/io/subcmd/backout.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -30,7 +32,7 @@
 
 Example:
   egretdock backout -author ada 58
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 func (c *backout) SetFlags(f *flag.FlagSet) {
@@ -40,7 +42,7 @@
 }
 
 func (c *backout) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.finish(c.Name(), c.run(ctx, f.Args()))
+	return c.Finish(c.Name(), c.run(ctx, f.Args()))
 }
 
 func (c *backout) run(ctx context.Context, args []string) error {
--- a/io/subcmd/check.go
+++ b/io/subcmd/check.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/model"
@@ -31,7 +33,7 @@
   egretdock check desk.json customers/*.json
   egretdock check -online -platform http://10.0.0.9:7070 customers/ann.json
   egretdock check -settings /etc/egretdock/b1.json
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 func (c *check) SetFlags(f *flag.FlagSet) {
@@ -41,7 +43,7 @@
 }
 
 func (c *check) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.finish(c.Name(), c.run(ctx, f.Args()))
+	return c.Finish(c.Name(), c.run(ctx, f.Args()))
 }
 
 func (c *check) run(ctx context.Context, paths []string) error {
@@ -53,7 +55,7 @@
 			if _, err := config.ReadSettings(p); err != nil {
 				return err
 			}
-			c.print("%s: settings are valid", p)
+			c.Print("%s: settings are valid", p)
 		}
 		return nil
 	}
@@ -76,7 +78,7 @@
 	if err := rehearse(cfg, acks, rules.Change{ID: "in check", Author: c.User, Base: cfg.Revision}, wanted); err != nil {
 		return err
 	}
-	c.print("%d objects are valid", len(wanted))
+	c.Print("%d objects are valid", len(wanted))
 	return nil
 }
 
--- a/io/subcmd/diff.go
+++ b/io/subcmd/diff.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/rules"
@@ -22,7 +24,7 @@
 
 Example:
   egretdock diff -platform http://10.0.0.9:7070 customers/ann.json
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 func (c *diff) SetFlags(f *flag.FlagSet) { c.platformFlag(f) }
@@ -30,9 +32,9 @@
 func (c *diff) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	differs, err := c.run(ctx, f.Args())
 	if err == nil && differs {
-		return ExitDiffers
+		return cmdenv.ExitDiffers
 	}
-	return c.finish(c.Name(), err)
+	return c.Finish(c.Name(), err)
 }
 
 func (c *diff) run(ctx context.Context, paths []string) (differs bool, err error) {
@@ -54,14 +56,14 @@
 			continue
 		}
 		differs = true
-		c.print("%s (%s)", o, w.Place())
+		c.Print("%s (%s)", o, w.Place())
 		if e, ok := t.Config.Edit(o); ok {
-			c.print("  last edited at revision %d by %s, edit %s", e.Revision, e.Author, e.ID)
+			c.Print("  last edited at revision %d by %s, edit %s", e.Revision, e.Author, e.ID)
 		}
 		for _, line := range lines {
-			c.print("  %s", line)
+			c.Print("  %s", line)
 		}
 	}
-	c.print("compared with revision %d; after review, apply with -base %d", t.Config.Revision, t.Config.Revision)
+	c.Print("compared with revision %d; after review, apply with -base %d", t.Config.Revision, t.Config.Revision)
 	return differs, nil
 }
--- a/io/subcmd/platform.go
+++ b/io/subcmd/platform.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -14,7 +16,7 @@
 )
 
 type platform struct {
-	Env
+	cmdenv.Env
 	listen string
 }
 
@@ -28,7 +30,7 @@
 
 Example:
   egretdock platform -listen 127.0.0.1:7070
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 func (c *platform) SetFlags(f *flag.FlagSet) {
@@ -36,7 +38,7 @@
 }
 
 func (c *platform) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.finish(c.Name(), c.run(ctx))
+	return c.Finish(c.Name(), c.run(ctx))
 }
 
 func (c *platform) run(ctx context.Context) error {
@@ -47,7 +49,7 @@
 	srv := &http.Server{Handler: plat.NewServer(), ReadHeaderTimeout: 5 * time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	c.print("platform at http://%s", ln.Addr())
+	c.Print("platform at http://%s", ln.Addr())
 	if err := srv.Serve(ln); ctx.Err() == nil {
 		return err
 	}
--- a/io/subcmd/serve.go
+++ b/io/subcmd/serve.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -16,7 +18,7 @@
 
 // serve runs one balancer.
 type serve struct {
-	Env
+	cmdenv.Env
 	settings string
 	register bool
 }
@@ -37,7 +39,7 @@
 Examples:
   egretdock serve -settings /etc/egretdock/settings.json
   egretdock serve -settings settings.json -register   # with the stand-in platform
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 // SetFlags implements subcommands.Command.
@@ -52,7 +54,7 @@
 		_, _ = fmt.Fprint(s.Err, s.Usage())
 		return subcommands.ExitUsageError
 	}
-	return s.finish(s.Name(), s.run(ctx))
+	return s.Finish(s.Name(), s.run(ctx))
 }
 
 func (s *serve) run(ctx context.Context) error {
--- a/io/subcmd/serve_test.go
+++ b/io/subcmd/serve_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"egretdock/io/cmdenv"
+
 	"egretdock/io/emul/plat"
 )
 
@@ -34,7 +36,7 @@
 	defer stop()
 	exit := make(chan int, 1)
 	go func() {
-		exit <- Main(ctx, []string{"serve", "-settings", file}, Env{Out: io.Discard, Err: os.Stderr})
+		exit <- Main(ctx, []string{"serve", "-settings", file}, cmdenv.Env{Out: io.Discard, Err: os.Stderr})
 	}()
 	awaitStatus(t, exit, func(body string) bool { return body != "" })
 	awaitStatus(t, exit, func(body string) bool {
--- a/io/subcmd/status.go
+++ b/io/subcmd/status.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -37,7 +39,7 @@
 Examples:
   egretdock status -log 20
   egretdock status -show customer/ann > ann.json
-` + exitHelp
+` + cmdenv.ExitHelp
 }
 
 func (c *status) SetFlags(f *flag.FlagSet) {
@@ -47,7 +49,7 @@
 }
 
 func (c *status) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	return c.finish(c.Name(), c.run(ctx))
+	return c.Finish(c.Name(), c.run(ctx))
 }
 
 func (c *status) run(ctx context.Context) error {
@@ -59,7 +61,7 @@
 	if c.show != "" {
 		return c.object(t.Config)
 	}
-	c.print("revision %d: %d templates, %d customers", t.Config.Revision, len(t.Config.Templates()), len(t.Config.Customers()))
+	c.Print("revision %d: %d templates, %d customers", t.Config.Revision, len(t.Config.Templates()), len(t.Config.Customers()))
 	if err := c.balancers(ctx, log, t.Config); err != nil {
 		return err
 	}
@@ -79,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	c.print("// %s as of revision %d; apply with -base %d\n%s", o, cfg.Revision, cfg.Revision, strings.TrimRight(string(b), "\n"))
+	c.Print("// %s as of revision %d; apply with -base %d\n%s", o, cfg.Revision, cfg.Revision, strings.TrimRight(string(b), "\n"))
 	return nil
 }
 
@@ -90,20 +92,20 @@
 	}
 	for _, dc := range slices.Sorted(maps.Keys(statuses)) {
 		s := statuses[dc]
-		c.print("data centre %s: relay %s, all balancers at revision %d or later", dc, s.Relay, s.Lowest)
+		c.Print("data centre %s: relay %s, all balancers at revision %d or later", dc, s.Relay, s.Lowest)
 	}
 	acks, err := log.Acks(ctx)
 	if err != nil {
 		return err
 	}
 	for _, name := range acks.Lagging(cfg.Revision) {
-		c.print("lagging: %s", name)
+		c.Print("lagging: %s", name)
 	}
 	released := cfg.ReleasedAll()
 	for _, a := range slices.SortedFunc(maps.Keys(released), netip.AddrPort.Compare) {
 		r := released[a]
 		if lag := acks.Lagging(r.Revision); len(lag) > 0 {
-			c.print("quarantine: %s released by %s at revision %d, not confirmed by %d balancers", a, r.Holder, r.Revision, len(lag))
+			c.Print("quarantine: %s released by %s at revision %d, not confirmed by %d balancers", a, r.Holder, r.Revision, len(lag))
 		}
 	}
 	return nil
@@ -118,7 +120,7 @@
 		if err != nil {
 			return err
 		}
-		c.print("revision %d: %s of %s by %s, edit %s%s", rev, change.Kind(), change.Object(), change.Author, change.ID, undone(change))
+		c.Print("revision %d: %s of %s by %s, edit %s%s", rev, change.Kind(), change.Object(), change.Author, change.ID, undone(change))
 	}
 	return nil
 }
--- a/io/subcmd/subcmd_test.go
+++ b/io/subcmd/subcmd_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 
+	"egretdock/io/cmdenv"
+
 	"egretdock/io/emul/plat"
 )
 
@@ -59,7 +61,7 @@
 	}
 	args = append([]string{args[0], "-platform", s.url}, args[1:]...)
 	var out bytes.Buffer
-	got := Main(s.t.Context(), args, Env{Out: &out, Err: &out, User: "ada", NewID: func() string {
+	got := Main(s.t.Context(), args, cmdenv.Env{Out: &out, Err: &out, User: "ada", NewID: func() string {
 		s.ids++
 		return fmt.Sprint("id", s.ids)
 	}})
@@ -126,7 +128,7 @@
 	for _, name := range []string{"check", "diff", "apply", "backout", "status", "platform"} {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
-			code := Main(t.Context(), []string{name, "--help"}, Env{Out: &out, Err: &out})
+			code := Main(t.Context(), []string{name, "--help"}, cmdenv.Env{Out: &out, Err: &out})
 			if code != 0 || !strings.Contains(out.String(), "Example") || !strings.Contains(out.String(), "Exit codes") {
 				t.Errorf("exit code %d\n%s", code, &out)
 			}
@@ -137,7 +139,7 @@
 	r, w := io.Pipe()
 	done := make(chan int)
 	go func() {
-		done <- Main(ctx, []string{"platform", "-listen", "127.0.0.1:0"}, Env{Out: w, Err: io.Discard})
+		done <- Main(ctx, []string{"platform", "-listen", "127.0.0.1:0"}, cmdenv.Env{Out: w, Err: io.Discard})
 	}()
 	if _, err := fmt.Fscanf(r, "platform at %s\n", &s.url); err != nil {
 		t.Fatal(err)
--- a/io/subcmd/call.go
+++ b/io/trial/call.go
@@ -1,4 +1,4 @@
-package subcmd
+package trial
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
@@ -16,7 +18,7 @@
 
 // Call does one piece of work as a client.
 type Call struct {
-	Env
+	cmdenv.Env
 	balancers, address, kind, payload string
 	timeout                           time.Duration
 	count                             int
@@ -56,7 +58,7 @@
 func (c *Call) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	cl, address, err := c.dial()
 	if err != nil {
-		return c.finish(c.Name(), err)
+		return c.Finish(c.Name(), err)
 	}
 	defer func() { _ = cl.Close() }()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -112,7 +114,7 @@
 	case "request":
 		answer, err := f.Do(ctx, []byte(c.payload))
 		if err == nil {
-			c.print("%x", answer)
+			c.Print("%x", answer)
 		}
 		return err
 	default:
@@ -126,24 +128,24 @@
 		if err != nil {
 			return err
 		}
-		c.print("%s", b)
+		c.Print("%s", b)
 	}
 	return nil
 }
 
 // finishCall reports how a call ended and returns its exit code.
 func (c *Call) finishCall(err error) subcommands.ExitStatus {
-	status := c.finish(c.Name(), err)
+	status := c.Finish(c.Name(), err)
 	var notRun *client.NotRunError
 	var unknown *client.UnknownError
 	var broken *client.BrokenError
 	switch {
 	case errors.As(err, &notRun):
-		return ExitNotRun
+		return cmdenv.ExitNotRun
 	case errors.As(err, &unknown):
-		return ExitUnknownOutcome
+		return cmdenv.ExitUnknownOutcome
 	case errors.As(err, &broken):
-		return ExitUnavailable
+		return cmdenv.ExitUnavailable
 	default:
 		return status
 	}
--- a/io/subcmd/demo.go
+++ b/io/trial/demo.go
@@ -1,4 +1,4 @@
-package subcmd
+package trial
 
 import (
 	"context"
@@ -6,6 +6,8 @@
 	"os"
 	"time"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -15,7 +17,7 @@
 
 // Demo shows the whole system at work in under half a minute.
 type Demo struct {
-	Env
+	cmdenv.Env
 	example string
 	seed    uint64
 }
@@ -55,44 +57,44 @@
 func (d *Demo) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	c, err := cases.Find(d.example)
 	if err != nil {
-		return d.finish(d.Name(), err)
+		return d.Finish(d.Name(), err)
 	}
 	script, err := load.Scenario("demo", c, demoLength)
 	if err != nil {
-		return d.finish(d.Name(), err)
+		return d.Finish(d.Name(), err)
 	}
 	line, err := os.CreateTemp("", "egretdock-demo-*.log")
 	if err != nil {
 		err = fault.Wrap(err, fault.KindUnavailable, "cannot write the time line", "set TMPDIR to a writable directory")
-		return d.finish(d.Name(), err)
+		return d.Finish(d.Name(), err)
 	}
 	defer func() { _ = line.Close() }()
 	d.introduce(c, script)
 	cfg := load.Config{Case: c, Script: script, Policy: load.Egretdock{}, Seed: d.seed, Timeline: line, Progress: func(t time.Duration) {
-		d.print("  %s of %s", t.Round(time.Second), script.Length)
+		d.Print("  %s of %s", t.Round(time.Second), script.Length)
 	}}
 	h, err := load.Run(ctx, cfg)
 	if err != nil {
-		return d.finish(d.Name(), err)
+		return d.Finish(d.Name(), err)
 	}
 	r := load.Summarize(cfg, h)
 	printReport(d.Out, r)
-	d.print("time line: %s", line.Name())
+	d.Print("time line: %s", line.Name())
 	if r.Broken() {
-		return ExitInvariant
+		return cmdenv.ExitInvariant
 	}
 	return subcommands.ExitSuccess
 }
 
 func (d *Demo) introduce(c cases.Case, s load.Script) {
-	d.print("%s: %d balancers in %d data centres, %d customers", c.Name, c.Balancers, len(c.DataCentres), len(c.Customers))
+	d.Print("%s: %d balancers in %d data centres, %d customers", c.Name, c.Balancers, len(c.DataCentres), len(c.Customers))
 	for _, sv := range c.Services {
-		d.print("  service %s: %d upstreams with %d slots", sv.Template.Name, sv.Upstreams, sv.Slots)
+		d.Print("  service %s: %d upstreams with %d slots", sv.Template.Name, sv.Upstreams, sv.Slots)
 	}
 	for _, t := range s.Steps {
-		d.print("  at %4.1f s: %T %+v", t.At.Seconds(), t.Step, t.Step)
+		d.Print("  at %4.1f s: %T %+v", t.At.Seconds(), t.Step, t.Step)
 	}
 	for _, f := range s.Floods {
-		d.print("  from %.1f s to %.1f s: flood of %s at %.0f times its capacity", f.From.Seconds(), f.To.Seconds(), f.Class, f.Times)
+		d.Print("  from %.1f s to %.1f s: flood of %s at %.0f times its capacity", f.From.Seconds(), f.To.Seconds(), f.Class, f.Times)
 	}
 }
--- a/io/subcmd/load.go
+++ b/io/trial/load.go
@@ -1,4 +1,4 @@
-package subcmd
+package trial
 
 import (
 	"context"
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/io/emul/cases"
@@ -17,7 +19,7 @@
 
 // Load runs a scenario on an example deployment in this process.
 type Load struct {
-	Env
+	cmdenv.Env
 	example, scenario, policies string
 	seed                        uint64
 	length, delay               time.Duration
@@ -68,11 +70,11 @@
 func (l *Load) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	cfgs, err := l.configs()
 	if err != nil {
-		return l.finish(l.Name(), err)
+		return l.Finish(l.Name(), err)
 	}
 	out, closeFile, err := create(l.timeline)
 	if err != nil {
-		return l.finish(l.Name(), err)
+		return l.Finish(l.Name(), err)
 	}
 	defer closeFile()
 	var reports []load.Report
@@ -83,7 +85,7 @@
 		}
 		h, err := load.Run(ctx, cfg)
 		if err != nil {
-			return l.finish(l.Name(), err)
+			return l.Finish(l.Name(), err)
 		}
 		r := load.Summarize(cfg, h)
 		l.show(r)
@@ -93,7 +95,7 @@
 		printRatios(l.Err, reports[0], r)
 	}
 	if reports[0].Broken() {
-		return ExitInvariant
+		return cmdenv.ExitInvariant
 	}
 	return subcommands.ExitSuccess
 }
--- a/io/subcmd/print.go
+++ b/io/trial/print.go
@@ -1,4 +1,4 @@
-package subcmd
+package trial
 
 import (
 	"fmt"
--- a/io/subcmd/upstream.go
+++ b/io/trial/upstream.go
@@ -1,10 +1,12 @@
-package subcmd
+package trial
 
 import (
 	"context"
 	"flag"
 	"net/netip"
 
+	"egretdock/io/cmdenv"
+
 	"github.com/google/subcommands"
 
 	"egretdock/core/fault"
@@ -14,7 +16,7 @@
 
 // Upstream runs one stand-in upstream as a process.
 type Upstream struct {
-	Env
+	cmdenv.Env
 	example, service, name string
 	listen, health         string
 	seed                   uint64
@@ -53,14 +55,14 @@
 func (u *Upstream) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	cfg, err := u.config()
 	if err != nil {
-		return u.finish(u.Name(), err)
+		return u.Finish(u.Name(), err)
 	}
 	s, err := upstr.Start(cfg)
 	if err != nil {
-		return u.finish(u.Name(), err)
+		return u.Finish(u.Name(), err)
 	}
 	defer s.Close()
-	u.print("endpoint=%s health=%s", s.Endpoint(), s.Health())
+	u.Print("endpoint=%s health=%s", s.Endpoint(), s.Health())
 	<-ctx.Done()
 	return subcommands.ExitSuccess
 }
