--- a/core/input/input.go
+++ b/core/input/input.go
@@ -44,8 +44,8 @@
 	// Hops counts the balancers that have relayed the packet. While members
 	// disagree on the owner, it ends the exchange after MaxHops.
 	Hops uint8
-	// Forced is set on the last hop: the receiver queues or refuses the
-	// packet and does not pass it on.
+	// Forced ends the choice among candidates: the receiver queues or refuses
+	// an opening, and admits a request although it holds no grant of its flow.
 	Forced bool
 	// Best and BestQueue name the least busy candidate so far and how busy it
 	// was.
--- a/core/query/route.go
+++ b/core/query/route.go
@@ -62,7 +62,7 @@
 	case !ok:
 		return r, LookupRemoved
 	case pl.Service != b.Template.Name:
-		return packet.Route{}, LookupForeign
+		return r, LookupForeign
 	}
 	return r, LookupRouted
 }
--- a/io/emul/load/script.go
+++ b/io/emul/load/script.go
@@ -161,7 +161,7 @@
 func Scenarios() []string {
 	return []string{
 		"steady", "drain", "rolling_change", "joint_change", "balancer_loss", "flood_low", "flood_high",
-		"partition", "upstream_restart", "shedding", "lying_load", "everything", "demo",
+		"partition", "platform_outage", "operators_race", "upstream_restart", "shedding", "lying_load", "everything", "demo",
 	}
 }
 
--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -24,8 +24,10 @@
 	seed                        uint64
 	length, delay               time.Duration
 	times, drop                 float64
-	noToken, asJSON             bool
-	timeline                    string
+	noToken                     bool
+	// json and timeline are file names.
+	json     string
+	timeline string
 }
 
 // Name implements subcommands.Command.
@@ -36,7 +38,7 @@
 
 // Usage implements subcommands.Command.
 func (*Load) Usage() string {
-	return `load [-example casablanca|lagos] [-scenario NAME] [-policy P1,P2] [-seed N] [-for 20s] [-json]
+	return `load [-example casablanca|lagos] [-scenario NAME] [-policy P1,P2] [-seed N] [-for 20s] [-json FILE]
 
 Runs balancers, stand-in upstreams and clients in this process on loopback, and
 reports the measures and a verdict on each invariant. With several policies,
@@ -62,12 +64,16 @@
 	f.DurationVar(&l.delay, "delay", 0, "one-way delay between clients and balancers; the examples state 3ms and 1ms")
 	f.Float64Var(&l.drop, "drop", 0, "share of datagrams lost between clients and balancers, 0 to 1")
 	f.BoolVar(&l.noToken, "no-token", false, "clients echo no route token")
-	f.BoolVar(&l.asJSON, "json", false, "print one JSON object per policy")
+	f.StringVar(&l.json, "json", "", "file for the reports as JSON, one object for each policy")
 	f.StringVar(&l.timeline, "timeline", "", "file for the events of the run; empty writes none")
 }
 
 // Execute implements subcommands.Command.
-func (l *Load) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (l *Load) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		_, _ = fmt.Fprintf(l.Err, "egretdock load: unexpected argument %q; all options are flags\n", f.Arg(0))
+		return subcommands.ExitUsageError
+	}
 	cfgs, err := l.configs()
 	if err != nil {
 		return l.Finish(l.Name(), err)
@@ -77,6 +83,11 @@
 		return l.Finish(l.Name(), err)
 	}
 	defer closeFile()
+	reportFile, closeReports, err := create(l.json)
+	if err != nil {
+		return l.Finish(l.Name(), err)
+	}
+	defer closeReports()
 	var reports []load.Report
 	for _, cfg := range cfgs {
 		cfg.Timeline = out
@@ -88,7 +99,14 @@
 			return l.Finish(l.Name(), err)
 		}
 		r := load.Summarize(cfg, h)
-		l.show(r)
+		printReport(l.Out, r)
+		if reportFile != nil {
+			enc := json.NewEncoder(reportFile)
+			enc.SetIndent("", "  ")
+			if err := enc.Encode(r); err != nil {
+				return l.Finish(l.Name(), err)
+			}
+		}
 		reports = append(reports, r)
 	}
 	for _, r := range reports[1:] {
@@ -100,16 +118,6 @@
 	return subcommands.ExitSuccess
 }
 
-func (l *Load) show(r load.Report) {
-	if !l.asJSON {
-		printReport(l.Out, r)
-		return
-	}
-	enc := json.NewEncoder(l.Out)
-	enc.SetIndent("", "  ")
-	_ = enc.Encode(r)
-}
-
 func (l *Load) configs() ([]load.Config, error) {
 	c, err := cases.Find(l.example)
 	if err != nil {
--- a/io/trial/print.go
+++ b/io/trial/print.go
@@ -18,7 +18,7 @@
 	}
 	f, err := os.Create(name)
 	if err != nil {
-		return nil, nil, fault.Wrap(err, fault.KindInvalid, "cannot write the time line", "choose another file")
+		return nil, nil, fault.Wrap(err, fault.KindInvalid, "cannot write "+name, "choose another file")
 	}
 	return f, func() { _ = f.Close() }, nil
 }
