Split the workloads from the load tool

No behaviour changes: go test ./io/emul/... passes, and a scenario's arrivals for a seed are the same (TestArrivals).

--- a/io/emul/load/drive.go
+++ b/io/emul/load/drive.go
@@ -14,6 +14,7 @@
 	"egretdock/core/model"
 	"egretdock/io/emul/audit"
 	"egretdock/io/emul/cases"
+	"egretdock/io/emul/script"
 	"egretdock/io/emul/upstr"
 )
 
@@ -22,7 +23,7 @@
 const maxWorkers = 8192
 
 // drive begins the arrivals at their times and waits until all have ended.
-func (s *stage) drive(ctx context.Context, start time.Time, arrivals []Arrival) {
+func (s *stage) drive(ctx context.Context, start time.Time, arrivals []script.Arrival) {
 	var pool errgroup.Group
 	pool.SetLimit(maxWorkers)
 	for i := range arrivals {
@@ -39,7 +40,7 @@
 }
 
 // call does one arrival and records its outcome.
-func (s *stage) call(ctx context.Context, due time.Time, a *Arrival) {
+func (s *stage) call(ctx context.Context, due time.Time, a *script.Arrival) {
 	ctx, cancel := context.WithTimeout(ctx, a.Work.Timeout)
 	defer cancel()
 	out := s.perform(ctx, a)
@@ -53,7 +54,7 @@
 	}
 }
 
-func (s *stage) perform(ctx context.Context, a *Arrival) audit.Outcome {
+func (s *stage) perform(ctx context.Context, a *script.Arrival) audit.Outcome {
 	c := s.clients[a.Customer.Name]
 	switch a.Class.Kind {
 	case model.KindUpload:
@@ -78,7 +79,7 @@
 }
 
 // upload sends the chunks of an upload and its final request.
-func (s *stage) upload(ctx context.Context, c *client.Client, a *Arrival) audit.Outcome {
+func (s *stage) upload(ctx context.Context, c *client.Client, a *script.Arrival) audit.Outcome {
 	f, err := c.Open(ctx, a.Address())
 	if err != nil {
 		return outcome(nil, err, nil)
@@ -95,7 +96,7 @@
 // upload whose deadline passes sooner was only slow.
 const stallTime = 1250 * time.Millisecond
 
-func (s *stage) transfer(ctx context.Context, f *client.Flow, a *Arrival, rec *audit.Flow) audit.Outcome {
+func (s *stage) transfer(ctx context.Context, f *client.Flow, a *script.Arrival, rec *audit.Flow) audit.Outcome {
 	digest := xxhash.New()
 	for i := range a.Work.Chunks {
 		b := chunk(a, i)
@@ -120,7 +121,7 @@
 	return outcome(got, err, upstr.Answer([]byte(a.Payload), digest.Sum64(), a.Work.AnswerBytes))
 }
 
-func chunk(a *Arrival, i int) []byte {
+func chunk(a *script.Arrival, i int) []byte {
 	b := fmt.Appendf(make([]byte, 0, a.Work.ChunkBytes), "%s#%d ", a.Payload, i)
 	for len(b) < a.Work.ChunkBytes {
 		b = append(b, byte('a'+len(b)%26))
@@ -136,7 +137,7 @@
 			users := s.c.Using(sv.Template.Name)
 			for i := range w.Open {
 				u := users[i%len(users)]
-				cl := class(sv.Template, w.Class)
+				cl := script.Class(sv.Template, w.Class)
 				g.Go(func() error { s.feed(ctx, u, cl, w); return nil })
 			}
 		}
@@ -150,7 +151,7 @@
 // feed keeps one feed open and opens another when it breaks.
 func (s *stage) feed(ctx context.Context, u cases.Customer, cl model.Class, w cases.Work) {
 	c := s.clients[u.Name]
-	a := Arrival{Customer: u, Class: cl}
+	a := script.Arrival{Customer: u, Class: cl}
 	for ctx.Err() == nil {
 		open, cancel := context.WithTimeout(ctx, w.Timeout)
 		f, err := c.Open(open, a.Address())
--- a/io/emul/load/load_test.go
+++ b/io/emul/load/load_test.go
@@ -10,16 +10,17 @@
 	"egretdock/io/emul/audit"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/fabric"
+	"egretdock/io/emul/script"
 )
 
 // Guards against runs that differ although the seed is the same.
 func TestArrivals(t *testing.T) {
 	c := cases.Casablanca()
-	s, err := Scenario("flood_low", c, 10*time.Second)
+	s, err := script.Scenario("flood_low", c, 10*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := func(seed uint64) string { return fmt.Sprint(Arrivals(c, s, seed)) }
+	text := func(seed uint64) string { return fmt.Sprint(script.Arrivals(c, s, seed)) }
 	t.Run("same seed", func(t *testing.T) {
 		if first, second := text(1), text(1); first != second {
 			t.Error("two calls with one seed differ")
@@ -33,7 +34,7 @@
 	t.Run("flood raises its class only", func(t *testing.T) {
 		f, _ := s.Flood("plans")
 		n := map[string]int{}
-		for _, a := range Arrivals(c, s, 1) {
+		for _, a := range script.Arrivals(c, s, 1) {
 			if a.At >= f.From && a.At < f.To {
 				n[a.Class.Name]++
 			}
@@ -53,8 +54,8 @@
 // Guards against names in the help that no scenario or policy has.
 func TestNames(t *testing.T) {
 	for _, c := range []cases.Case{cases.Casablanca(), cases.Lagos()} {
-		for _, name := range Scenarios() {
-			if _, err := Scenario(name, c, 10*time.Second); err != nil {
+		for _, name := range script.Scenarios() {
+			if _, err := script.Scenario(name, c, 10*time.Second); err != nil {
 				t.Errorf("%s %s: %v", c.Name, name, err)
 			}
 		}
@@ -101,16 +102,16 @@
 func TestRun(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c := small()
-	script := Script{Name: "test", Length: 3 * time.Second}.
-		With(300*time.Millisecond, Edit{"dispatch"}).
-		With(400*time.Millisecond, Drain{"dispatch", 1}).
-		With(600*time.Millisecond, Replace{"dispatch", 2}).
-		With(800*time.Millisecond, Kill{"b01"}).
-		With(900*time.Millisecond, Notice{}).
-		With(1200*time.Millisecond, Restart{"photo_archive", 1}).
-		With(1500*time.Millisecond, Undrain{"dispatch", 1})
+	sc := script.Script{Name: "test", Length: 3 * time.Second}.
+		With(300*time.Millisecond, script.Edit{Service: "dispatch"}).
+		With(400*time.Millisecond, script.Drain{Service: "dispatch", Index: 1}).
+		With(600*time.Millisecond, script.Replace{Service: "dispatch", Index: 2}).
+		With(800*time.Millisecond, script.Kill{Balancer: "b01"}).
+		With(900*time.Millisecond, script.Notice{}).
+		With(1200*time.Millisecond, script.Restart{Service: "photo_archive", Index: 1}).
+		With(1500*time.Millisecond, script.Undrain{Service: "dispatch", Index: 1})
 	cfg := Config{
-		Case: c, Script: script, Policy: Egretdock{}, Seed: 1,
+		Case: c, Script: sc, Policy: Egretdock{}, Seed: 1,
 		Faults: []fabric.Fault{fabric.Drop{Share: 0.01}, fabric.Duplicate{Share: 0.02}, fabric.Reorder{Share: 0.05, By: 5 * time.Millisecond}},
 	}
 	h, err := Run(t.Context(), cfg)
@@ -130,7 +131,7 @@
 	for _, p := range []Policy{Bare{}, Random{}} {
 		t.Run(p.String(), func(t *testing.T) {
 			defer goleak.VerifyNone(t)
-			h, err := Run(t.Context(), Config{Case: small(), Script: Script{Length: time.Second}, Policy: p, Seed: 1})
+			h, err := Run(t.Context(), Config{Case: small(), Script: script.Script{Length: time.Second}, Policy: p, Seed: 1})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/io/emul/load/run.go
+++ b/io/emul/load/run.go
@@ -1,3 +1,5 @@
+// Package load runs an example deployment under load, does to it what a
+// scenario says, and reports the measures and the invariants.
 package load
 
 import (
@@ -10,12 +12,13 @@
 	"egretdock/io/emul/audit"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/fabric"
+	"egretdock/io/emul/script"
 )
 
 // Config is one run.
 type Config struct {
 	Case   cases.Case
-	Script Script
+	Script script.Script
 	Policy Policy
 	Seed   uint64
 	// Faults are those of the network between clients and balancers.
@@ -39,7 +42,7 @@
 		return nil, err
 	}
 	defer s.close()
-	arrivals := Arrivals(cfg.Case, cfg.Script, cfg.Seed)
+	arrivals := script.Arrivals(cfg.Case, cfg.Script, cfg.Seed)
 	start := time.Now()
 	s.begin(start, cfg.Script)
 	control, calls := s.fleet.Control(), s.fleet.PlatformCalls()
@@ -90,7 +93,7 @@
 const warmUp = time.Second
 
 // begin records the start and the planned phases.
-func (s *stage) begin(start time.Time, sc Script) {
+func (s *stage) begin(start time.Time, sc script.Script) {
 	s.began = start
 	s.rec.update(func(h *audit.History) {
 		h.Start = start
--- a/io/emul/load/steps.go
+++ b/io/emul/load/steps.go
@@ -11,10 +11,11 @@
 	"egretdock/io/emul/audit"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/fleet"
+	"egretdock/io/emul/script"
 )
 
 // run does the steps of a script at their times.
-func (s *stage) run(ctx context.Context, start time.Time, steps []Timed) error {
+func (s *stage) run(ctx context.Context, start time.Time, steps []script.Timed) error {
 	for _, t := range steps {
 		if !wait(ctx, start.Add(t.At)) {
 			return nil
@@ -28,47 +29,47 @@
 }
 
 // do carries out one step.
-func (s *stage) do(ctx context.Context, step Step) error {
+func (s *stage) do(ctx context.Context, step script.Step) error {
 	switch st := step.(type) {
-	case Edit:
+	case script.Edit:
 		return s.edit(ctx, st.Service)
-	case Drain:
+	case script.Drain:
 		s.drain(cases.UpstreamName(st.Service, st.Index))
-	case Undrain:
+	case script.Undrain:
 		s.undrain(cases.UpstreamName(st.Service, st.Index))
-	case Replace:
+	case script.Replace:
 		return s.replace(ctx, st)
-	case Restart:
+	case script.Restart:
 		name := cases.UpstreamName(st.Service, st.Index)
 		s.rec.fault(audit.Restarted{Upstream: name, At: time.Now()})
 		s.fleet.Upstream(name).Restart()
-	case Shed:
+	case script.Shed:
 		name := cases.UpstreamName(st.Service, st.Index)
 		s.disturb(name, "shedding", st.OneOf > 0)
 		s.fleet.Upstream(name).Shed(st.OneOf)
-	case Lie:
+	case script.Lie:
 		name := cases.UpstreamName(st.Service, st.Index)
 		s.disturb(name, "lying", st.On)
 		s.fleet.Upstream(name).Lie(st.On)
-	case Kill:
+	case script.Kill:
 		s.rec.fault(audit.Killed{Balancer: st.Balancer, At: time.Now()})
 		s.fleet.KillBalancer(st.Balancer)
 		s.gone(st.Balancer)
-	case Retire:
+	case script.Retire:
 		s.retire(st.Balancer)
-	case Add:
+	case script.Add:
 		return s.add(st)
-	case Notice:
+	case script.Notice:
 		s.fleet.Announce()
 		s.relist()
-	case Outage:
+	case script.Outage:
 		s.fleet.Outage(st.On)
-	case Race:
+	case script.Race:
 		return s.race(ctx, st)
-	case Cut:
+	case script.Cut:
 		s.rec.fault(audit.Cut{DataCentres: st.DataCentres, At: time.Now()})
 		s.fleet.Partition(st.DataCentres...)
-	case Heal:
+	case script.Heal:
 		s.heal()
 	}
 	return nil
@@ -94,7 +95,7 @@
 // race lets operators edit the same template at the same time, all from the
 // revision that they read before. The edit of one of them is accepted, the
 // others must get a conflict.
-func (s *stage) race(ctx context.Context, r Race) error {
+func (s *stage) race(ctx context.Context, r script.Race) error {
 	cfg := s.fleet.Config()
 	t, ok := cfg.Template(r.Service)
 	if !ok || len(t.Classes) == 0 {
@@ -171,7 +172,7 @@
 
 // replace adds an upstream, takes the old one out of the configuration and
 // drains it, as a rolling change does.
-func (s *stage) replace(ctx context.Context, st Replace) error {
+func (s *stage) replace(ctx context.Context, st script.Replace) error {
 	sv, ok := s.c.Service(st.Service)
 	if !ok {
 		return nil
@@ -186,7 +187,7 @@
 	}
 	// The new upstream has its share only after its slow start.
 	now := time.Now()
-	s.rec.fault(audit.Disturbed{Upstream: name, How: "added", At: s.began, Until: now.Add(suspicion)})
+	s.rec.fault(audit.Disturbed{Upstream: name, How: "added", At: s.began, Until: now.Add(script.Suspicion)})
 	s.rec.update(func(h *audit.History) { h.Upstreams[name] = st.Service })
 	cfg := s.fleet.Config()
 	for _, c := range s.c.Using(st.Service) {
@@ -226,7 +227,7 @@
 	}()
 }
 
-func (s *stage) add(st Add) error {
+func (s *stage) add(st script.Add) error {
 	s.live(st.Balancer, st.DataCentre)
 	if err := s.fleet.AddBalancer(st.Balancer, st.DataCentre); err != nil {
 		return err
--- a/io/emul/load/timeline.go
+++ b/io/emul/load/timeline.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"egretdock/io/emul/script"
+
 	"egretdock/core/clock"
 	"egretdock/core/effect"
 	"egretdock/io/logs"
@@ -35,7 +37,7 @@
 	_, _ = fmt.Fprintln(t.w, r)
 }
 
-func (t *timeline) step(s Step) {
+func (t *timeline) step(s script.Step) {
 	t.event("load", effect.Event{Name: "step", Detail: fmt.Sprintf("%T %+v", s, s)})
 }
 
--- a/io/emul/load/arrive.go
+++ b/io/emul/script/arrive.go
@@ -1,4 +1,4 @@
-package load
+package script
 
 import (
 	"fmt"
@@ -45,7 +45,7 @@
 					r.from, r.to = f.From, f.To
 					r.flood = f.Times * sv.Capacity(w) / float64(len(users))
 				}
-				out = append(out, stream(u, class(sv.Template, w.Class), w, r, s.Length, seed)...)
+				out = append(out, stream(u, Class(sv.Template, w.Class), w, r, s.Length, seed)...)
 			}
 		}
 	}
@@ -90,7 +90,8 @@
 	return out
 }
 
-func class(t model.Template, name string) model.Class {
+// Class returns the named class of a template, or the zero class.
+func Class(t model.Template, name string) model.Class {
 	for _, c := range t.Classes {
 		if c.Name == name {
 			return c
--- a/io/trial/demo.go
+++ b/io/trial/demo.go
@@ -13,6 +13,7 @@
 	"egretdock/core/fault"
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/load"
+	"egretdock/io/emul/script"
 )
 
 // Demo shows the whole system at work in under half a minute.
@@ -59,7 +60,7 @@
 	if err != nil {
 		return d.Finish(d.Name(), err)
 	}
-	script, err := load.Scenario("demo", c, demoLength)
+	script, err := script.Scenario("demo", c, demoLength)
 	if err != nil {
 		return d.Finish(d.Name(), err)
 	}
@@ -86,7 +87,7 @@
 	return subcommands.ExitSuccess
 }
 
-func (d *Demo) introduce(c cases.Case, s load.Script) {
+func (d *Demo) introduce(c cases.Case, s script.Script) {
 	d.Print("%s: %d balancers in %d data centres, %d customers", c.Name, c.Balancers, len(c.DataCentres), len(c.Customers))
 	for _, sv := range c.Services {
 		d.Print("  service %s: %d upstreams with %d slots", sv.Template.Name, sv.Upstreams, sv.Slots)
--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -15,6 +15,7 @@
 	"egretdock/io/emul/cases"
 	"egretdock/io/emul/fabric"
 	"egretdock/io/emul/load"
+	"egretdock/io/emul/script"
 )
 
 // Load runs a scenario on an example deployment in this process.
@@ -43,7 +44,7 @@
 Runs balancers, stand-in upstreams and clients in this process on loopback, and
 reports the measures and a verdict on each invariant. With several policies,
 each runs the same arrivals, and the ratios to the first are printed.
-Scenarios: ` + strings.Join(load.Scenarios(), ", ") + `.
+Scenarios: ` + strings.Join(script.Scenarios(), ", ") + `.
 Policies: ` + strings.Join(load.Policies(), ", ") + `.
 
 Exit codes: 0 all invariants held; 1 the run failed; 2 wrong usage; 3 invalid
@@ -60,7 +61,7 @@
 	f.StringVar(&l.policies, "policy", "egretdock", "policies to run, separated by commas")
 	f.Uint64Var(&l.seed, "seed", 1, "seed of arrivals, upstreams and network faults")
 	f.DurationVar(&l.length, "for", 20*time.Second, "length of the load, at least 10s")
-	f.Float64Var(&l.times, "times", load.FloodTimes, "rate of floods over the capacity of their upstreams")
+	f.Float64Var(&l.times, "times", script.FloodTimes, "rate of floods over the capacity of their upstreams")
 	f.DurationVar(&l.delay, "delay", 0, "one-way delay between clients and balancers; the examples state 3ms and 1ms")
 	f.Float64Var(&l.drop, "drop", 0, "share of datagrams lost between clients and balancers, 0 to 1")
 	f.BoolVar(&l.noToken, "no-token", false, "clients echo no route token")
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	script, err := load.Scenario(l.scenario, c, l.length)
+	script, err := script.Scenario(l.scenario, c, l.length)
 	if err != nil {
 		return nil, err
 	}
