Count a drain that began under another owner without a new grace

Cause: after the owner of a draining upstream died, the new owner gave requests on open flows the grace of 3 s again. If the first word of an upstream is a report that it drains, the drain began earlier.

--- a/core/engine/fault_test.go
+++ b/core/engine/fault_test.go
@@ -52,8 +52,9 @@
 // ownerOf returns the index of the balancer that owns the flow's upstream.
 func (f *memFlow) ownerOf() int {
 	f.m.t.Helper()
+	members := f.m.balancers[f.m.other(-1)].Tables.Members()
 	for i, b := range f.m.balancers {
-		if o, ok := f.m.balancers[0].Tables.Members().Owner(f.upstream().Upstream); ok && b.Self.Name == o.Name {
+		if o, ok := members.Owner(f.upstream().Upstream); ok && b.Self.Name == o.Name {
 			return i
 		}
 	}
@@ -349,3 +350,29 @@
 		}
 	}
 }
+
+// Guards against a drain whose grace starts again with each new owner.
+func TestOwnerDiesDuringDrain(t *testing.T) {
+	m := newMemory(t, 4, 3)
+	order := m.flow(orderAddr).mustOpen(0)
+	u := order.upstream()
+	u.draining = true
+	report := &input.LoadReport{Endpoint: u.Endpoint, Healthy: true, Incarnation: 1, Slots: 2, Draining: true}
+	owner := order.ownerOf()
+	m.give(m.balancers[owner], report)
+	m.pass(3 * time.Second)
+	m.kill(owner)
+	m.give(m.balancers[order.ownerOf()], report)
+	before := u.opens
+	for range 20 {
+		m.flow(orderAddr).send(m.other(owner), &packet.Open{Attempt: 1})
+	}
+	if n := u.opens - before; n != 0 {
+		t.Errorf("%d openings reached the draining upstream after its owner died", n)
+	}
+	order.send(m.other(owner), &packet.Request{ID: 1, Attempt: 1})
+	if got := wantBody[*packet.Refuse](t, order).Reason; got != packet.ReasonDraining {
+		t.Errorf("reason = %s, want %s", got, packet.ReasonDraining)
+	}
+	wantRuns(t, m, order, 1, 0)
+}
--- a/core/health/state.go
+++ b/core/health/state.go
@@ -88,12 +88,18 @@
 	if slices.Contains(s.former, r.Incarnation) {
 		return s
 	}
+	first := s.incarnation == 0
 	s = s.withIncarnation(now, r.Incarnation)
 	if r.Slots > 0 {
 		s.slots = r.Slots
 	}
 	if r.Draining {
 		s = s.withDraining(now)
+		if first {
+			// It began before this balancer knew the upstream, perhaps under
+			// another owner, whose grace must not start again.
+			s.draining = now.Add(-drainGrace)
+		}
 	}
 	if r.Healthy {
 		s.reports = 0
