--- a/client/request.go
+++ b/client/request.go
@@ -32,19 +32,30 @@
 	defer f.end(id)
 	for attempt := uint32(1); ; attempt++ {
 		f.send(&packet.Request{ID: id, Attempt: attempt, Timeout: left(ctx), Payload: payload})
-		timer := time.NewTimer(f.c.interval(attempt))
-		select {
-		case <-r.done:
-			timer.Stop()
+		if f.await(ctx, id, r, attempt, f.c.interval(attempt)) {
 			return r.answer, r.err
-		case <-f.broken:
-			timer.Stop()
-			return nil, &UnknownError{Attempts: attempt, Cause: f.cause()}
-		case <-ctx.Done():
-			timer.Stop()
-			return f.cancel(id, attempt, r)
-		case <-timer.C:
 		}
+		if ctx.Err() != nil {
+			return f.cancel(ctx, id, attempt, r)
+		}
+	}
+}
+
+// await waits until the request has ended and reports true, or until ctx ends
+// or d has passed. A request on a flow that breaks ends with an unknown outcome.
+func (f *Flow) await(ctx context.Context, id uint64, r *request, attempts uint32, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-r.done:
+		return true
+	case <-f.broken:
+		f.withRequest(id, func(r *request) { r.finish(nil, &UnknownError{Attempts: attempts, Cause: f.reason}) })
+		return true
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
 	}
 }
 
@@ -53,18 +64,11 @@
 const cancelAttempts = 3
 
 // cancel asks the upstream to give up a request and waits for its word.
-func (f *Flow) cancel(id uint64, attempts uint32, r *request) ([]byte, error) {
+func (f *Flow) cancel(ctx context.Context, id uint64, attempts uint32, r *request) ([]byte, error) {
 	for n := uint32(1); n <= cancelAttempts; n++ {
 		f.send(&packet.Cancel{ID: id, Attempt: attempts, Reason: packet.ReasonCancelled})
-		timer := time.NewTimer(f.c.interval(n))
-		select {
-		case <-r.done:
-			timer.Stop()
+		if f.await(context.WithoutCancel(ctx), id, r, attempts, f.c.interval(n)) {
 			return r.answer, r.err
-		case <-f.broken:
-			timer.Stop()
-			return nil, &UnknownError{Attempts: attempts, Cause: f.cause()}
-		case <-timer.C:
 		}
 	}
 	return nil, &UnknownError{Attempts: attempts, Cause: errNoReply}
