Let a retired balancer of the load tool leave before it is stopped

The balancer itself was not at fault.

TestRetire prints 'b02 still holds b00 for alive' without the repair.

--- a/io/emul/fleet/fleet.go
+++ b/io/emul/fleet/fleet.go
@@ -172,12 +172,11 @@
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
-		switch p := b.Process.(type) {
-		case *daemon.Daemon:
-			p.Leave(exitBound)
-		default:
-			f.push(b, &input.Leave{})
+		if p, ok := b.Process.(interface{ Daemon() *daemon.Daemon }); ok {
+			p.Daemon().Leave(exitBound)
+			return
 		}
+		f.push(b, &input.Leave{})
 	}()
 	f.Announce()
 	return func() {
--- a/io/emul/fleet/fleet_test.go
+++ b/io/emul/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"egretdock/client"
 	"egretdock/core/model"
+	"egretdock/io/daemon"
 	"egretdock/io/emul/upstr"
 )
 
@@ -124,3 +125,21 @@
 		t.Errorf("answer has %d bytes %x…, want %d bytes %x…", len(got), got[:8], len(want), want[:8])
 	}
 }
+
+// Guards against a retired balancer that is killed before the others know that
+// it leaves: their relays would be lost until they suspect it.
+func TestRetire(t *testing.T) {
+	f, _ := start(t, 4, 2)
+	f.RetireBalancer("b00")()
+	for _, b := range f.list() {
+		p, ok := b.Process.(interface{ Daemon() *daemon.Daemon })
+		if !ok {
+			t.Fatalf("%s is a %T, want a whole process", b.Self().Name, b.Process)
+		}
+		for _, m := range p.Daemon().Status().Members {
+			if m.Name == "b00" && m.Status == "alive" {
+				t.Errorf("%s still holds b00 for alive", b.Self().Name)
+			}
+		}
+	}
+}
