Use one hash mixer for owners and candidates; drop an unused method

core/member and core/rank held the same function to the letter; member now calls rank.Mix. table.Flows.Delete had no caller. No behaviour changes: the order of owners and candidates stays the same, and go test ./core/... passes.

--- a/core/member/state.go
+++ b/core/member/state.go
@@ -10,6 +10,7 @@
 	"egretdock/core/member/probe"
 	"egretdock/core/member/spread"
 	"egretdock/core/model"
+	"egretdock/core/rank"
 )
 
 // State is one balancer's membership: a SWIM failure detector and the spread
@@ -150,7 +151,7 @@
 
 // fingerprint identifies one incarnation of a balancer.
 func fingerprint(b model.Balancer) uint64 {
-	return mix(xxhash.Sum64String(b.Name) + mix(b.Incarnation))
+	return rank.Mix(xxhash.Sum64String(b.Name) + rank.Mix(b.Incarnation))
 }
 
 // head starts a message with as much news as fits.
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"egretdock/core/model"
+	"egretdock/core/rank"
 )
 
 // View is the set of live balancers as one balancer sees it. It is immutable;
@@ -125,9 +126,9 @@
 		return model.Balancer{}, false
 	}
 	key := xxhash.Sum64String(u.Name)
-	best, top := cs[0].at, mix(key^cs[0].hash)
+	best, top := cs[0].at, rank.Mix(key^cs[0].hash)
 	for _, c := range cs[1:] {
-		if h := mix(key ^ c.hash); h > top {
+		if h := rank.Mix(key ^ c.hash); h > top {
 			best, top = c.at, h
 		}
 	}
@@ -180,13 +181,3 @@
 }
 
 func byName(b model.Balancer, name string) int { return strings.Compare(b.Name, name) }
-
-// mix spreads the combined hash of two names, so that the order of balancers
-// differs from one upstream to the next.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -43,9 +43,9 @@
 // Top returns the first names for a flow.
 func (r Ranking) Top(flow uint64) Top {
 	var t Top
-	seed := mix(flow + 0x9e3779b97f4a7c15)
+	seed := Mix(flow + 0x9e3779b97f4a7c15)
 	for i, k := range r.keys {
-		t.offer(i, mix(k^seed))
+		t.offer(i, Mix(k^seed))
 	}
 	return t
 }
@@ -66,7 +66,9 @@
 	t.index[at], t.score[at] = index, score
 }
 
-func mix(x uint64) uint64 {
+// Mix spreads the combined hash of two names, so that the order of one set of
+// names differs from one key to the next.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/core/table/flows.go
+++ b/core/table/flows.go
@@ -93,14 +93,6 @@
 	return true
 }
 
-// Delete removes a cached route.
-func (f *Flows) Delete(h *locks.Holder, k FlowKey) {
-	s := f.shard(k)
-	s.mu.Lock(h, locks.RankFlows)
-	defer s.mu.Unlock(h, locks.RankFlows)
-	delete(s.m, k)
-}
-
 // Len returns the number of cached routes.
 func (f *Flows) Len(h *locks.Holder) int {
 	n := 0
