--- /dev/null
+++ b/core/cmds/direct.go
@@ -0,0 +1,106 @@
+package cmds
+
+import (
+	"time"
+
+	"egretdock/core/health"
+	"egretdock/core/input"
+	"egretdock/core/locks"
+	"egretdock/core/packet"
+	"egretdock/core/roster"
+	"egretdock/core/table"
+)
+
+// Route puts routes in force unless newer ones are, and notes that the store
+// confirmed them. It reports whether they changed.
+func Route(h *locks.Holder, now time.Time, s *table.Set, in *input.Routed) bool {
+	changed := false
+	s.UpdateDirect(h, func(d *table.Direct) *table.Direct {
+		if in.Routing.Revision > d.Routing.Revision {
+			d, changed = d.WithRouting(in.Routing.WithPrevious(d.Routing)), true
+		}
+		return d.WithRoutingSeen(now)
+	})
+	return changed
+}
+
+// Roster replaces the instances by fn's result as seen from a data centre. fn
+// reports false to keep them.
+func Roster(h *locks.Holder, s *table.Set, dataCentre string, fn func(roster.Roster) (roster.Roster, bool)) bool {
+	return s.UpdateDirect(h, func(d *table.Direct) *table.Direct {
+		next, ok := fn(d.Roster)
+		if !ok {
+			return nil
+		}
+		return d.WithRoster(next, dataCentre)
+	})
+}
+
+// ConfirmRoster notes that the store confirmed the instances.
+func ConfirmRoster(h *locks.Holder, now time.Time, s *table.Set) {
+	s.UpdateDirect(h, func(d *table.Direct) *table.Direct { return d.WithRosterSeen(now) })
+}
+
+// TrackOpening stores that an opening was sent to an instance.
+func TrackOpening(h *locks.Holder, s *table.Set, f packet.FlowID, t table.Track, b *table.Backend) {
+	b.State.CountPlaced()
+	s.Tracks.Put(h, f, t)
+}
+
+// TrackOpened stores that a flow is open at an instance, which has answered.
+func TrackOpened(h *locks.Holder, now time.Time, s *table.Set, f packet.FlowID, t table.Track, b *table.Backend, long bool) table.Track {
+	t = t.WithOpen(b.Instance.ID)
+	t.Long = long
+	if s.Tracks.Put(h, f, t) && long {
+		b.State.CountOpen(1)
+	}
+	b.State.Observe(h, now, health.Accepted{Incarnation: b.Instance.ID})
+	return t
+}
+
+// TrackSegment stores a packet of an open flow and what it says about the
+// instance: repeated data means that the instance has not answered,
+// acknowledged data that it has.
+func TrackSegment(h *locks.Holder, now time.Time, s *table.Set, seg *packet.Segment, t table.Track, b *table.Backend) (repeated bool) {
+	t, repeated, progress := t.WithSegment(now, seg)
+	s.Tracks.Put(h, seg.Flow, t)
+	switch {
+	case progress:
+		b.State.Observe(h, now, health.Answered{Incarnation: b.Instance.ID})
+	case repeated:
+		b.State.Observe(h, now, health.Failed{Incarnation: b.Instance.ID})
+	}
+	return repeated
+}
+
+// Forget removes the track of a flow that has ended.
+func Forget(h *locks.Holder, s *table.Set, f packet.FlowID) {
+	if t, ok := s.Tracks.Drop(h, f); ok {
+		uncount(s.Direct(), t)
+	}
+}
+
+// closingTime is how long the track of a closing flow is kept for packets that
+// are repeated: a sender gives up after eight repeats in some ten seconds, but
+// the token serves those that come later.
+const closingTime = 2 * time.Second
+
+// SweepTracks removes the tracks of flows that are closed, idle, or were never
+// answered.
+func SweepTracks(h *locks.Holder, now time.Time, s *table.Set, lifetime time.Duration) {
+	d := s.Direct()
+	idle := d.Routing.IdleTimeout
+	if idle <= 0 {
+		idle = lifetime
+	}
+	s.Tracks.Sweep(h, func(t table.Track) bool {
+		age := now.Sub(t.Seen)
+		return age > idle || t.State != table.TrackOpen && age > closingTime
+	}, func(t table.Track) { uncount(d, t) })
+}
+
+func uncount(d *table.Direct, t table.Track) {
+	if b, ok := d.Backend(t.Instance); ok && t.Long {
+		b.State.CountOpen(-1)
+	}
+}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"egretdock/core/input"
 	"egretdock/core/member"
@@ -50,6 +51,25 @@
 	Revision uint64
 }
 
+// Deliver sends a client's packet to one instance with the instance's token.
+type Deliver struct {
+	To       netip.AddrPort
+	Instance uint64
+	Token    uint32
+	// Raw is valid as long as the input that caused the effect.
+	Raw []byte
+}
+
+// ResetFlow resets an opaque flow at its client.
+type ResetFlow struct {
+	Flow packet.FlowID
+	// Seq is the client's last acknowledgement, near which a reset is believed.
+	Seq uint32
+}
+
+// Wake asks for a Wake input after a delay.
+type Wake struct{ After time.Duration }
+
 // Event reports something for the log. Its fields are key=value pairs.
 type Event struct {
 	// Name is in snake case.
@@ -62,6 +82,24 @@
 	Revision uint64
 	// Detail says why, in a few words.
 	Detail string
+
+	// Client and Address are the ends of the opaque flow concerned.
+	Client, Address netip.AddrPort
+	// Request is the identifier that the client gave the request.
+	Request string
+	// Service is that of the route.
+	Service string
+	// Age is the time since the store confirmed Revision.
+	Age time.Duration
+	// List is the revision of the list of instances, and ListAge the time since
+	// the store confirmed it.
+	List    uint64
+	ListAge time.Duration
+	// Took is the time that what is reported took.
+	Took time.Duration
+	// Load is the load figure of the instance chosen, and Candidates the number
+	// of instances it was chosen from.
+	Load, Candidates int
 }
 
 func (*ToUpstream) effect() {}
@@ -70,4 +108,7 @@
 func (*Gossip) effect()     {}
 func (*Poll) effect()       {}
 func (*Fetch) effect()      {}
+func (*Deliver) effect()    {}
+func (*ResetFlow) effect()  {}
+func (*Wake) effect()       {}
 func (*Event) effect()      {}
--- a/core/effect/list.go
+++ b/core/effect/list.go
@@ -16,6 +16,9 @@
 	calls  []*ToClient
 	nUps   int
 	nCalls int
+	// delivers is reused like ups.
+	delivers  []*Deliver
+	nDelivers int
 }
 
 // Items returns the effects in order. They are valid until Reset.
@@ -25,7 +28,7 @@
 func (l *List) Reset() {
 	clear(l.items)
 	l.items = l.items[:0]
-	l.nUps, l.nCalls = 0, 0
+	l.nUps, l.nCalls, l.nDelivers = 0, 0, 0
 }
 
 // Add appends an effect.
@@ -52,3 +55,14 @@
 	e.Packet = p
 	l.items = append(l.items, e)
 }
+
+// Deliver appends a packet of an opaque flow.
+func (l *List) Deliver(d Deliver) {
+	if l.nDelivers == len(l.delivers) {
+		l.delivers = append(l.delivers, new(Deliver))
+	}
+	e := l.delivers[l.nDelivers]
+	l.nDelivers++
+	*e = d
+	l.items = append(l.items, e)
+}
--- /dev/null
+++ b/core/engine/direct.go
@@ -0,0 +1,271 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+
+	"egretdock/core/cmds"
+	"egretdock/core/effect"
+	"egretdock/core/health"
+	"egretdock/core/input"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/query"
+	"egretdock/core/roster"
+	"egretdock/core/table"
+)
+
+const (
+	// hedgeAfter is the time without a continuation after which an opening is
+	// also sent to another instance. A handshake takes one round trip to the
+	// client and one to the instance, at most 15 ms between data centres of one
+	// region; the client's own next copy follows after 200 ms.
+	hedgeAfter = 40 * time.Millisecond
+	// resetConfirmed is the age up to which the store's confirmation of the
+	// routes allows to reset the opening of an unknown address: a route that was
+	// added since may not be refused for longer than the bound for configuration.
+	resetConfirmed = 2500 * time.Millisecond
+)
+
+// Direct is what the engine needs to know for opaque flows. The zero value
+// serves one data centre.
+type Direct struct {
+	// DataCentres is the number of data centres with clients.
+	DataCentres int
+	// FlowLifetime is the age at which a flow may be forgotten.
+	FlowLifetime time.Duration
+}
+
+func (e *Engine) routed(w *Work, now time.Time, in *input.Routed) {
+	if !cmds.Route(&w.locks, now, &e.Tables, in) {
+		return
+	}
+	w.Out.Add(&effect.Event{
+		Name: "routes_in_force", Revision: in.Routing.Revision,
+		Detail: "version=" + strconv.FormatUint(in.Routing.Version, 10) + " routes=" + strconv.Itoa(in.Routing.Len()),
+	})
+}
+
+func (e *Engine) listed(w *Work, now time.Time, in *input.Listed) {
+	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
+		return r.WithList(now, in.Entries, in.Revision), true
+	})
+	cmds.ConfirmRoster(&w.locks, now, &e.Tables)
+}
+
+func (e *Engine) listChanged(w *Work, now time.Time, in *input.ListChanged) {
+	if len(in.Changes) > 0 {
+		e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
+			return r.WithChanges(now, in.Changes, in.Revision), true
+		})
+	}
+	cmds.ConfirmRoster(&w.locks, now, &e.Tables)
+}
+
+func (e *Engine) storeChanged(w *Work, now time.Time, in *input.StoreChanged) {
+	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
+		return r.WithStore(now, in.Away), r.Away != in.Away
+	})
+}
+
+// updateRoster changes the instances and reports each whose status changed.
+func (e *Engine) updateRoster(w *Work, fn func(roster.Roster) (roster.Roster, bool)) {
+	before := e.Tables.Direct()
+	if !cmds.Roster(&w.locks, &e.Tables, e.Self.DataCentre, fn) {
+		return
+	}
+	after := e.Tables.Direct()
+	for id, b := range after.Backends() {
+		old, known := before.Backend(id)
+		if known && old.Status == b.Status && old.Instance.Born == b.Instance.Born {
+			continue
+		}
+		from := "unknown"
+		if known {
+			from = old.Status.String()
+		}
+		w.Out.Add(&effect.Event{
+			Name: "instance_" + b.Status.String(), Upstream: b.Instance.Name, Service: b.Instance.Service,
+			List:   after.Roster.Revision,
+			Detail: "before=" + from + " endpoint=" + b.Instance.Endpoint.String() + " data_centre=" + b.Instance.DataCentre,
+		})
+	}
+}
+
+func (e *Engine) tickDirect(w *Work, now time.Time) {
+	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) { return r.WithTime(now) })
+	e.hedge(w, now)
+	if last := e.swept.Load(); last == nil || now.Sub(*last) >= sweepEvery {
+		e.swept.Store(&now)
+		cmds.SweepTracks(&w.locks, now, &e.Tables, e.Direct.FlowLifetime)
+	}
+}
+
+// sweepEvery is the interval between two sweeps of the tracked flows.
+const sweepEvery = time.Second
+
+// hedge sends the openings that were not answered in time to another instance.
+func (e *Engine) hedge(w *Work, now time.Time) {
+	late := e.Tables.Tracks.Openings(&w.locks, func(t table.Track) bool {
+		return now.Sub(t.Sent) >= hedgeAfter && len(t.Tried()) == 1
+	})
+	for _, f := range late {
+		t, ok := e.Tables.Tracks.Get(&w.locks, f)
+		if !ok || t.State != table.TrackOpening {
+			continue
+		}
+		d := e.Tables.Direct()
+		route, ok := d.Routing.Route(f.Address)
+		if !ok {
+			continue
+		}
+		e.doubt(w, now, d, t.Instance)
+		s := packet.Segment{Flow: f, Kind: packet.SegmentOpen, Copy: t.Copy, Raw: t.Syn}
+		e.place(w, now, d, route, &s, t, "flow_hedged")
+	}
+}
+
+// doubt notes that an instance has left an opening unanswered.
+func (e *Engine) doubt(w *Work, now time.Time, d *table.Direct, id uint64) {
+	if b, ok := d.Backend(id); ok {
+		b.State.Observe(&w.locks, now, health.Failed{Incarnation: id, Opening: true})
+	}
+}
+
+func (e *Engine) flowOpen(w *Work, now time.Time, s *packet.Segment) {
+	d := e.Tables.Direct()
+	if d.Routing.Revision == 0 {
+		e.decide(w, now, d, s, "packet_dropped", "no_routes", query.Choice{})
+		return
+	}
+	route, ok := d.Routing.Route(s.Flow.Address)
+	if !ok {
+		e.noRoute(w, now, d, s)
+		return
+	}
+	t, tracked := e.Tables.Tracks.Get(&w.locks, s.Flow)
+	switch {
+	case tracked && t.State == table.TrackOpening && s.Copy > t.Copy:
+		if len(t.Tried()) == 1 {
+			e.doubt(w, now, d, t.Instance)
+		}
+		t.Copy = s.Copy
+		e.place(w, now, d, route, s, t, "flow_retried")
+	case tracked && (t.State == table.TrackOpening || s.Copy > 0):
+		// A duplicate, or a copy that the flow's instance has already answered.
+		if b, ok := d.Backend(t.Instance); ok {
+			e.send(w, s, b)
+		}
+	default:
+		if tracked {
+			cmds.Forget(&w.locks, &e.Tables, s.Flow)
+		}
+		e.place(w, now, d, route, s, table.Track{Opened: now, Copy: s.Copy}, "flow_placed")
+	}
+}
+
+// noRoute answers the opening of an address without a route. Without a recent
+// confirmation the address may have a route that this balancer has not seen.
+func (e *Engine) noRoute(w *Work, now time.Time, d *table.Direct, s *packet.Segment) {
+	if now.Sub(d.RoutingSeen) > resetConfirmed {
+		e.decide(w, now, d, s, "packet_dropped", "no_route_unconfirmed", query.Choice{})
+		return
+	}
+	e.resetFlow(w, now, d, s, "no_route")
+}
+
+// place sends an opening to the best instance that it was not sent to before.
+func (e *Engine) place(w *Work, now time.Time, d *table.Direct, route model.Route, s *packet.Segment, t table.Track, event string) {
+	c := query.Place(d, route, s.Flow, &t, e.Direct.DataCentres, now)
+	if c.Backend == nil {
+		e.decide(w, now, d, s, "packet_dropped", "no_instance", c)
+		return
+	}
+	t = t.WithTry(now, c.Backend.Instance.ID)
+	if len(t.Syn) == 0 {
+		t.Syn = append([]byte(nil), s.Raw...)
+	}
+	cmds.TrackOpening(&w.locks, &e.Tables, s.Flow, t, c.Backend)
+	e.send(w, s, c.Backend)
+	if len(t.Tried()) == 1 {
+		w.Out.Add(&effect.Wake{After: hedgeAfter})
+	}
+	e.decide(w, now, d, s, event, c.Tier, c)
+}
+
+func (e *Engine) flowContinue(w *Work, now time.Time, s *packet.Segment) {
+	d := e.Tables.Direct()
+	t, tracked := e.Tables.Tracks.Get(&w.locks, s.Flow)
+	switch target := query.Resolve(d, s, t, tracked).(type) {
+	case query.TargetBackend:
+		e.carry(w, now, d, s, t, tracked, target.Backend)
+	case query.TargetUnknown:
+		e.decide(w, now, d, s, "packet_dropped", target.Reason, query.Choice{})
+	case query.TargetLost:
+		e.resetFlow(w, now, d, s, target.Reason)
+		cmds.Forget(&w.locks, &e.Tables, s.Flow)
+	}
+}
+
+// carry sends a packet of an open flow to its instance.
+func (e *Engine) carry(w *Work, now time.Time, d *table.Direct, s *packet.Segment, t table.Track, tracked bool, b *table.Backend) {
+	route, _ := d.Routing.Route(s.Flow.Address)
+	if !tracked || t.State == table.TrackOpening {
+		ev := &effect.Event{Name: "flow_opened", Client: s.Flow.Client, Address: s.Flow.Address, Upstream: b.Instance.Name, Detail: "moved"}
+		if tracked {
+			ev.Detail, ev.Took = "answered", now.Sub(t.Sent)
+		} else {
+			t = table.Track{Opened: now, Seen: now}
+		}
+		w.Out.Add(ev)
+		t = cmds.TrackOpened(&w.locks, now, &e.Tables, s.Flow, t, b, route.Idempotent)
+	}
+	e.send(w, s, b)
+	switch repeated := cmds.TrackSegment(&w.locks, now, &e.Tables, s, t, b); {
+	case repeated:
+		e.decide(w, now, d, s, "packet_repeated", "unanswered", query.Choice{Backend: b})
+	case s.Request != nil:
+		e.decide(w, now, d, s, "request_carried", b.Status.String(), query.Choice{Backend: b})
+	}
+}
+
+func (e *Engine) flowEnd(w *Work, now time.Time, s *packet.Segment) {
+	e.flowContinue(w, now, s)
+	if s.Kind == packet.SegmentAbort {
+		cmds.Forget(&w.locks, &e.Tables, s.Flow)
+	}
+}
+
+func (e *Engine) send(w *Work, s *packet.Segment, b *table.Backend) {
+	w.Out.Deliver(effect.Deliver{To: b.Instance.Endpoint, Instance: b.Instance.ID, Token: b.Token, Raw: s.Raw})
+}
+
+func (e *Engine) resetFlow(w *Work, now time.Time, d *table.Direct, s *packet.Segment, reason string) {
+	if s.Kind == packet.SegmentAbort {
+		return
+	}
+	w.Out.Add(&effect.ResetFlow{Flow: s.Flow, Seq: s.Ack})
+	e.decide(w, now, d, s, "flow_reset", reason, query.Choice{})
+}
+
+// decide reports a decision with what it was based on.
+func (e *Engine) decide(w *Work, now time.Time, d *table.Direct, s *packet.Segment, name, reason string, c query.Choice) {
+	ev := &effect.Event{
+		Name: name, Detail: reason,
+		Client: s.Flow.Client, Address: s.Flow.Address, Request: string(s.Request),
+		Revision: d.Routing.Revision, Age: since(now, d.RoutingSeen),
+		List: d.Roster.Revision, ListAge: since(now, d.RosterSeen),
+		Load: c.Load, Candidates: c.Candidates,
+	}
+	if c.Backend != nil {
+		ev.Upstream, ev.Service = c.Backend.Instance.Name, c.Backend.Instance.Service
+	}
+	w.Out.Add(ev)
+}
+
+func since(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return now.Sub(t)
+}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -25,6 +25,8 @@
 	Self model.Balancer
 	// Members is the timing of failure detection; zero fields take defaults.
 	Members member.Config
+	// Direct is set before first use and never changed.
+	Direct Direct
 	// Tables is the shared state; the zero value is a balancer that knows
 	// nothing.
 	Tables table.Set
@@ -32,6 +34,8 @@
 	// faded is when the counts of placed openings were last halved, in
 	// nanoseconds since the Unix epoch.
 	faded atomic.Int64
+	// swept is when the tracked flows were last swept.
+	swept atomic.Pointer[time.Time]
 }
 
 // Work is what one worker brings to the engine. It must not be shared between
@@ -71,6 +75,22 @@
 		})
 	case *input.LoadReport:
 		e.report(w, now, in)
+	case *input.FlowOpen:
+		e.flowOpen(w, now, &in.Segment)
+	case *input.FlowContinue:
+		e.flowContinue(w, now, &in.Segment)
+	case *input.FlowEnd:
+		e.flowEnd(w, now, &in.Segment)
+	case *input.Routed:
+		e.routed(w, now, in)
+	case *input.Listed:
+		e.listed(w, now, in)
+	case *input.ListChanged:
+		e.listChanged(w, now, in)
+	case *input.StoreChanged:
+		e.storeChanged(w, now, in)
+	case *input.Wake:
+		e.hedge(w, now)
 	case *input.Tick:
 		e.tick(w, now)
 	case *input.Leave:
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -17,6 +17,7 @@
 		return s.Tick(now, w.Rand)
 	})
 	e.Tables.Probes.Expire(&w.locks, now)
+	e.tickDirect(w, now)
 	o := e.Tables.Ownership()
 	e.fade(now, o)
 	for _, pl := range o.Mine {
@@ -46,6 +47,9 @@
 			pl.State.Fade()
 		}
 	}
+	for _, b := range e.Tables.Direct().Backends() {
+		b.State.Fade()
+	}
 }
 
 // acknowledge lets gossip carry the revision in force once no worker routes by
--- a/core/health/query.go
+++ b/core/health/query.go
@@ -32,6 +32,16 @@
 // Ejected reports whether the upstream is out of use on health alone.
 func (s State) Ejected(now time.Time) bool { return now.Before(s.until) }
 
+// DoubtUntil returns the time until which new flows avoid the upstream because
+// of unanswered traffic; zero when its last traffic was answered.
+func (s State) DoubtUntil() time.Time {
+	n := s.opens + s.requests
+	if n == 0 {
+		return time.Time{}
+	}
+	return s.failed.Add(min(doubtFirst<<min(n-1, 8), doubtMost))
+}
+
 // Eligible reports whether the upstream may get new flows, when the other
 // upstreams of its service can take its part.
 func (s State) Eligible(now time.Time) bool { return !s.Draining() && !s.Ejected(now) }
--- a/core/health/state.go
+++ b/core/health/state.go
@@ -25,6 +25,10 @@
 	// lateTime is how long packets of an incarnation may arrive after it was
 	// replaced.
 	lateTime = 2 * time.Second
+	// doubtFirst and doubtMost bound the time for which new flows avoid an
+	// upstream after a failure of passing traffic; it doubles with each failure
+	// in a row. One lost packet costs doubtFirst at one balancer.
+	doubtFirst, doubtMost = time.Second, 8 * time.Second
 	// formerKept is the number of replaced incarnations whose lagging reports
 	// are recognized.
 	formerKept = 4
@@ -48,6 +52,8 @@
 	success time.Time
 	// opens, requests, sheds and reports count bad signals in a row.
 	opens, requests, sheds, reports int
+	// failed is the time of the last failure of passing traffic.
+	failed time.Time
 	// ejected and until are the start and end of the last ejection in a row of
 	// ejections without a success between them.
 	ejected, until time.Time
@@ -196,6 +202,7 @@
 	} else {
 		s.requests++
 	}
+	s.failed = now
 	if max(s.opens, s.requests) >= failLimit {
 		s = s.withEjection(now, false)
 	}
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -86,6 +86,39 @@
 	Running, Slots int
 }
 
+// FlowOpen is an opening of an opaque flow; Segment.Kind is SegmentOpen.
+type FlowOpen struct{ Segment packet.Segment }
+
+// FlowContinue is a packet of an opaque flow that is open for its client.
+type FlowContinue struct{ Segment packet.Segment }
+
+// FlowEnd is the client's last data or its reset of an opaque flow.
+type FlowEnd struct{ Segment packet.Segment }
+
+// Routed says that the store confirmed the routes of opaque flows. Routing has
+// revision 0 when nothing has changed.
+type Routed struct{ Routing model.Routing }
+
+// Listed delivers the whole list of instances. Entries that can't be read are
+// listed with ChangeUnreadable.
+type Listed struct {
+	Revision uint64
+	Entries  []model.InstanceChange
+}
+
+// ListChanged delivers the changes of the list of instances up to a revision;
+// without changes it confirms the list.
+type ListChanged struct {
+	Revision uint64
+	Changes  []model.InstanceChange
+}
+
+// StoreChanged says whether the store answers for the list of instances.
+type StoreChanged struct{ Away bool }
+
+// Wake lets time pass for openings that wait for an answer.
+type Wake struct{}
+
 // Tick lets time pass. Front ends send it every TickInterval.
 type Tick struct{}
 
@@ -103,5 +136,13 @@
 func (*Configured) input()   {}
 func (*Hosts) input()        {}
 func (*LoadReport) input()   {}
+func (*FlowOpen) input()     {}
+func (*FlowContinue) input() {}
+func (*FlowEnd) input()      {}
+func (*Routed) input()       {}
+func (*Listed) input()       {}
+func (*ListChanged) input()  {}
+func (*StoreChanged) input() {}
+func (*Wake) input()         {}
 func (*Tick) input()         {}
 func (*Leave) input()        {}
--- a/core/locks/locks.go
+++ b/core/locks/locks.go
@@ -15,6 +15,7 @@
 	RankLimits
 	RankProbes
 	RankFlows
+	RankTracks
 )
 
 var rankNames = [...]string{
@@ -24,6 +25,7 @@
 	RankLimits:    "limits",
 	RankProbes:    "probes",
 	RankFlows:     "flows",
+	RankTracks:    "tracks",
 }
 
 // String returns the name of the table that the rank protects.
--- /dev/null
+++ b/core/model/instance.go
@@ -0,0 +1,53 @@
+package model
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Instance is one start of an upstream as service discovery lists it. It is
+// immutable.
+type Instance struct {
+	// ID is unique among all instances; an upstream that starts again usually
+	// has another.
+	ID uint64
+	// Name is the name of the entry, for the log.
+	Name       string
+	Service    string
+	DataCentre string
+	// Endpoint receives its packets. It is given to another instance some time
+	// after this one has ended.
+	Endpoint netip.AddrPort
+	// Slots is the number of requests it runs at a time; positive.
+	Slots int
+	// Draining is true once it has announced its end.
+	Draining bool
+	// WarmupLeft is how long it stays slow after its start.
+	WarmupLeft time.Duration
+	// Born is its start in milliseconds since the Unix epoch, by its own clock;
+	// it tells two starts under one ID apart. 0 means unknown.
+	Born uint64
+	// Revision is that of the entry's last change.
+	Revision uint64
+}
+
+// ChangeKind is what happened to the entry of an instance.
+type ChangeKind uint8
+
+// Change kinds.
+const (
+	// ChangeWritten means that the entry was created or replaced.
+	ChangeWritten ChangeKind = iota
+	// ChangeRemoved means that the entry is gone.
+	ChangeRemoved
+	// ChangeUnreadable means that the entry can't be read: the instance gets no
+	// new flows, but it may well be there.
+	ChangeUnreadable
+)
+
+// InstanceChange is one change of the list. Only the ID and name of the
+// instance are set unless it was written.
+type InstanceChange struct {
+	Kind     ChangeKind
+	Instance Instance
+}
--- /dev/null
+++ b/core/model/route.go
@@ -0,0 +1,113 @@
+package model
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Share is the part of a route's new flows that goes to one service.
+type Share struct {
+	Service string
+	// Weight is positive.
+	Weight int
+}
+
+// Route sends the flows of one service address to services. It is immutable.
+type Route struct {
+	// Name is for people; it is not unique.
+	Name string
+	// Address is unique in a routing.
+	Address netip.AddrPort
+	// Shares are the services of new flows; usually one.
+	Shares []Share
+	// Idempotent is true when clients may repeat its requests.
+	Idempotent bool
+}
+
+// Serves reports whether the route may send flows to a service.
+func (r Route) Serves(service string) bool {
+	for _, s := range r.Shares {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Service returns the service for a flow; hash is uniform and the same on all
+// balancers. It returns "" for a route without services.
+func (r Route) Service(hash uint64) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	at := int(hash % uint64(total))
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// Routing is the users' configuration of opaque flows at one revision. It is
+// immutable; the zero value routes nothing.
+type Routing struct {
+	// Revision orders routings; a higher one replaces a lower one.
+	Revision uint64
+	// Version is the number that the operator gave it, for the log.
+	Version uint64
+	// IdleTimeout is the time after which an idle flow may be forgotten; 0 means
+	// never.
+	IdleTimeout time.Duration
+
+	routes map[netip.AddrPort]Route
+	// dropped holds the addresses that an earlier routing had; never modified in
+	// place.
+	dropped map[netip.AddrPort]bool
+}
+
+// Route returns the route of a service address.
+func (r Routing) Route(a netip.AddrPort) (Route, bool) {
+	out, ok := r.routes[a]
+	return out, ok
+}
+
+// Dropped reports whether an earlier routing had a route of an address that this
+// one has not.
+func (r Routing) Dropped(a netip.AddrPort) bool { return r.dropped[a] }
+
+// WithPrevious returns a copy that knows which routes of an earlier routing it
+// has not.
+func (r Routing) WithPrevious(prev Routing) Routing {
+	r.dropped = make(map[netip.AddrPort]bool)
+	for a := range prev.dropped {
+		if _, ok := r.routes[a]; !ok {
+			r.dropped[a] = true
+		}
+	}
+	for a := range prev.routes {
+		if _, ok := r.routes[a]; !ok {
+			r.dropped[a] = true
+		}
+	}
+	return r
+}
+
+// Len returns the number of routes.
+func (r Routing) Len() int { return len(r.routes) }
+
+// WithRoutes returns a copy with these routes only.
+func (r Routing) WithRoutes(routes []Route) Routing {
+	r.routes = make(map[netip.AddrPort]Route, len(routes))
+	for _, one := range routes {
+		r.routes[one.Address] = one
+	}
+	return r
+}
--- /dev/null
+++ b/core/query/direct.go
@@ -0,0 +1,189 @@
+package query
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/rank"
+	"egretdock/core/roster"
+	"egretdock/core/table"
+)
+
+// Target is where a packet of an open flow goes.
+//
+//sumtype:decl
+type Target interface{ target() }
+
+// TargetBackend is the flow's instance.
+type TargetBackend struct{ Backend *table.Backend }
+
+// TargetUnknown means that nothing is known of the flow's instance, so that the
+// packet is dropped: another instance would reset the flow.
+type TargetUnknown struct{ Reason string }
+
+// TargetLost means that the flow can't go on and its client should learn so.
+type TargetLost struct{ Reason string }
+
+func (TargetBackend) target() {}
+func (TargetUnknown) target() {}
+func (TargetLost) target()    {}
+
+// Resolve finds the instance of a packet of an open flow: the one that this
+// balancer has seen the flow open at, else the one that its token names. It
+// depends on no local state for a flow that another balancer opened.
+func Resolve(d *table.Direct, s *packet.Segment, t table.Track, tracked bool) Target {
+	if d.Routing.Revision == 0 {
+		return TargetUnknown{Reason: "no_routes"}
+	}
+	route, ok := d.Routing.Route(s.Flow.Address)
+	switch {
+	case !ok && d.Routing.Dropped(s.Flow.Address):
+		return TargetLost{Reason: "route_removed"}
+	case !ok:
+		// The route may be newer than what this balancer knows.
+		return TargetUnknown{Reason: "no_route"}
+	}
+	b, reason := instanceOf(d, route, s, t, tracked)
+	switch {
+	case b == nil:
+		return TargetUnknown{Reason: reason}
+	case b.Status == roster.StatusGone:
+		return TargetLost{Reason: "instance_gone"}
+	}
+	return TargetBackend{Backend: b}
+}
+
+func instanceOf(d *table.Direct, route model.Route, s *packet.Segment, t table.Track, tracked bool) (*table.Backend, string) {
+	if tracked && t.State != table.TrackOpening {
+		if b, ok := d.Backend(t.Instance); ok {
+			return b, ""
+		}
+	}
+	var found *table.Backend
+	for _, b := range d.ByToken(s.Token) {
+		switch {
+		case found == nil:
+			found = b
+		case route.Serves(b.Instance.Service) && route.Serves(found.Instance.Service):
+			return nil, "token_ambiguous"
+		case route.Serves(b.Instance.Service):
+			found = b
+		}
+	}
+	if found == nil {
+		return nil, "token_unknown"
+	}
+	return found, ""
+}
+
+// FlowHash spreads flows; it is the same on all balancers.
+func FlowHash(f packet.FlowID) uint64 {
+	var b [12]byte
+	c, a := f.Client.Addr().As4(), f.Address.Addr().As4()
+	copy(b[:], c[:])
+	copy(b[4:], a[:])
+	binary.LittleEndian.PutUint16(b[8:], f.Client.Port())
+	binary.LittleEndian.PutUint16(b[10:], f.Address.Port())
+	return rank.Mix(xxhash.Sum64(b[:]))
+}
+
+// Choice is the instance chosen for a new flow.
+type Choice struct {
+	// Backend is nil when there is none.
+	Backend *table.Backend
+	// Load is the instance's figure in the comparison, per 100 slots.
+	Load int
+	// Candidates is the number of instances compared.
+	Candidates int
+	// Tier names the set that they came from.
+	Tier string
+}
+
+// localShare is the part of its fair share of slots that the own data centre
+// must have to take all of its clients' new flows. Below it, flows go to all
+// data centres in proportion.
+const localShare = 0.6
+
+// Place chooses the instance of a new flow. tried holds the instances that have
+// not answered its opening; they are chosen last.
+func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, dataCentres int, now time.Time) Choice {
+	hash := FlowHash(f)
+	g := d.Group(route.Service(hash))
+	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
+	if servesLocally(g, dataCentres, rank.Mix(hash)) {
+		if c := p.choose("local", true, g.Local); c.Backend != nil {
+			return c
+		}
+	}
+	if c := p.choose("any", true, g.Local, g.Remote); c.Backend != nil {
+		return c
+	}
+	if c := p.choose("doubtful", false, g.Local, g.Remote); c.Backend != nil {
+		return c
+	}
+	if c := p.choose("lapsed", false, g.Lapsed); c.Backend != nil {
+		return c
+	}
+	p.tried = &table.Track{}
+	return p.choose("again", false, g.Local, g.Remote, g.Lapsed)
+}
+
+// servesLocally reports whether a flow stays in its own data centre; draw is
+// uniform.
+func servesLocally(g *table.Group, dataCentres int, draw uint64) bool {
+	need := localShare * float64(g.Slots) / float64(max(1, dataCentres))
+	if float64(g.LocalSlots) >= need {
+		return g.LocalSlots > 0
+	}
+	const parts = 1 << 16
+	return float64(draw%parts) < parts*float64(g.LocalSlots)/need
+}
+
+type placement struct {
+	now   time.Time
+	hash  uint64
+	long  bool
+	tried *table.Track
+}
+
+// choose returns the instance with the least load for its slots; among equals
+// the first in the flow's rendezvous order.
+func (p *placement) choose(tier string, certain bool, sets ...[]*table.Backend) Choice {
+	c := Choice{Tier: tier}
+	var score uint64
+	for _, set := range sets {
+		for _, b := range set {
+			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Doubtful(p.now) {
+				continue
+			}
+			c.Candidates++
+			load, s := p.load(b), rank.Mix(b.Key^p.hash)
+			if c.Backend == nil || load < c.Load || load == c.Load && s > score {
+				c.Backend, c.Load, score = b, load, s
+			}
+		}
+	}
+	return c
+}
+
+// warmupPenalty counts the flows of an instance in its slow start this many
+// times.
+const warmupPenalty = 2
+
+// load is the number of flows per 100 slots. Long flows are spread by those
+// open now, others by those placed of late.
+func (p *placement) load(b *table.Backend) int {
+	n := int(b.State.Placed())
+	if p.long {
+		n = int(b.State.Open())
+	}
+	n = (n + 1) * 100 / b.Instance.Slots
+	if p.now.Sub(b.Since) < b.Instance.WarmupLeft {
+		n *= warmupPenalty
+	}
+	return n
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,238 @@
+// Package roster keeps the list of instances that service discovery reports,
+// through the times in which the store is away or entries lapse.
+package roster
+
+import (
+	"maps"
+	"time"
+
+	"egretdock/core/model"
+)
+
+const (
+	// LapseGrace is how long an entry that vanished without draining still
+	// counts. Entries lapse while the store is away and are written again within
+	// about two seconds of its return.
+	LapseGrace = 2500 * time.Millisecond
+	// KeepGone is how long an instance that left is remembered, so that its
+	// flows can be told from flows of an unknown one. Flows live a minute.
+	KeepGone = 70 * time.Second
+)
+
+// Status is what the list says of an instance.
+type Status uint8
+
+// Statuses.
+const (
+	// StatusReady gets new flows.
+	StatusReady Status = iota
+	// StatusDraining keeps its flows and gets no new ones.
+	StatusDraining
+	// StatusUnreadable has an entry that can't be read. It keeps its flows and
+	// gets no new ones.
+	StatusUnreadable
+	// StatusLapsed has vanished without draining. It may be back soon, and gets
+	// new flows only when nothing else is left.
+	StatusLapsed
+	// StatusGone has left; its flows are lost.
+	StatusGone
+)
+
+var statusNames = [...]string{StatusReady: "ready", StatusDraining: "draining", StatusUnreadable: "unreadable", StatusLapsed: "lapsed", StatusGone: "gone"}
+
+// String returns the status in snake case.
+func (s Status) String() string {
+	if int(s) < len(statusNames) {
+		return statusNames[s]
+	}
+	return "invalid"
+}
+
+// Member is an instance with its status. It is immutable.
+type Member struct {
+	Instance model.Instance
+	Status   Status
+	// Since is when the status began, as this balancer learnt it.
+	Since time.Time
+}
+
+// Roster is the known instances at one revision of the list. It is immutable;
+// the zero value knows none.
+type Roster struct {
+	// Revision is that of the last list or change taken in; it never falls.
+	Revision uint64
+	// Away is true while the store does not answer. Nothing lapses meanwhile.
+	Away bool
+
+	members map[uint64]Member
+}
+
+// Members returns all members by ID; users must not modify the map.
+func (r Roster) Members() map[uint64]Member { return r.members }
+
+// Member returns the member with an ID.
+func (r Roster) Member(id uint64) (Member, bool) {
+	m, ok := r.members[id]
+	return m, ok
+}
+
+// WithList returns a copy that has seen the whole list at a revision. An older
+// list changes nothing.
+func (r Roster) WithList(now time.Time, list []model.InstanceChange, revision uint64) Roster {
+	if revision < r.Revision {
+		return r
+	}
+	e := r.edit(now)
+	listed := make(map[uint64]bool, len(list))
+	for _, c := range list {
+		listed[c.Instance.ID] = true
+		e.apply(c)
+	}
+	for id := range r.members {
+		if !listed[id] {
+			e.remove(id)
+		}
+	}
+	return e.done(revision)
+}
+
+// WithChanges returns a copy that has seen the changes up to a revision.
+func (r Roster) WithChanges(now time.Time, changes []model.InstanceChange, revision uint64) Roster {
+	if revision < r.Revision {
+		return r
+	}
+	if len(changes) == 0 {
+		r.Revision = revision
+		return r
+	}
+	e := r.edit(now)
+	for _, c := range changes {
+		e.apply(c)
+	}
+	return e.done(revision)
+}
+
+// WithStore returns a copy that knows whether the store answers. On its return
+// the grace of lapsed entries starts again, since they could not be written
+// meanwhile.
+func (r Roster) WithStore(now time.Time, away bool) Roster {
+	if r.Away == away {
+		return r
+	}
+	r.Away = away
+	if away {
+		return r
+	}
+	e := r.edit(now)
+	for id, m := range e.next {
+		if m.Status == StatusLapsed {
+			m.Since = now
+			e.next[id] = m
+		}
+	}
+	return e.done(r.Revision)
+}
+
+// WithTime returns a copy in which lapsed entries whose grace is over are gone
+// and old ones forgotten. It reports false when nothing is due.
+func (r Roster) WithTime(now time.Time) (Roster, bool) {
+	if r.Away {
+		return r, false
+	}
+	var e *edit
+	for id, m := range r.members {
+		age := now.Sub(m.Since)
+		lapsed := m.Status == StatusLapsed && age >= LapseGrace
+		forgotten := m.Status == StatusGone && age >= KeepGone
+		if !lapsed && !forgotten {
+			continue
+		}
+		if e == nil {
+			e = r.edit(now)
+		}
+		if forgotten {
+			delete(e.next, id)
+		} else {
+			e.set(id, StatusGone)
+		}
+	}
+	if e == nil {
+		return r, false
+	}
+	return e.done(r.Revision), true
+}
+
+// edit collects changes of a copy.
+type edit struct {
+	roster Roster
+	next   map[uint64]Member
+	now    time.Time
+}
+
+func (r Roster) edit(now time.Time) *edit {
+	next := make(map[uint64]Member, len(r.members)+1)
+	maps.Copy(next, r.members)
+	return &edit{roster: r, next: next, now: now}
+}
+
+func (e *edit) done(revision uint64) Roster {
+	e.roster.members = e.next
+	e.roster.Revision = max(e.roster.Revision, revision)
+	return e.roster
+}
+
+func (e *edit) apply(c model.InstanceChange) {
+	switch c.Kind {
+	case model.ChangeWritten:
+		e.put(c.Instance)
+	case model.ChangeRemoved:
+		e.remove(c.Instance.ID)
+	case model.ChangeUnreadable:
+		if m, ok := e.next[c.Instance.ID]; ok && m.Status != StatusUnreadable {
+			e.set(c.Instance.ID, StatusUnreadable)
+		}
+	}
+}
+
+func (e *edit) put(in model.Instance) {
+	old, known := e.next[in.ID]
+	if known && old.Instance.Revision > in.Revision {
+		return
+	}
+	m := Member{Instance: in, Since: e.now}
+	if in.Draining {
+		m.Status = StatusDraining
+	}
+	if known && old.Status == m.Status && old.Instance.Born == in.Born {
+		m.Since = old.Since
+	}
+	e.next[in.ID] = m
+	// An address has one holder: the instance that had it before has ended.
+	for id, o := range e.next {
+		if id != in.ID && o.Status != StatusGone && o.Instance.Endpoint == in.Endpoint && o.Instance.Revision < in.Revision {
+			e.set(id, StatusGone)
+		}
+	}
+}
+
+// remove handles the end of an entry. One that drained has left; any other may
+// have lapsed while the store was away.
+func (e *edit) remove(id uint64) {
+	m, ok := e.next[id]
+	if !ok {
+		return
+	}
+	switch m.Status {
+	case StatusReady, StatusUnreadable:
+		e.set(id, StatusLapsed)
+	case StatusDraining:
+		e.set(id, StatusGone)
+	case StatusLapsed, StatusGone:
+	}
+}
+
+func (e *edit) set(id uint64, s Status) {
+	m := e.next[id]
+	m.Status, m.Since = s, e.now
+	e.next[id] = m
+}
--- /dev/null
+++ b/core/table/direct.go
@@ -0,0 +1,172 @@
+package table
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretdock/core/locks"
+	"egretdock/core/model"
+	"egretdock/core/roster"
+)
+
+// Backend is an instance as new flows and tokens see it. It is immutable,
+// except that State has its own lock.
+type Backend struct {
+	roster.Member
+	// Token names the instance in the packets of its flows; never 0.
+	Token uint32
+	// Key is the instance's hash for rendezvous ranking.
+	Key uint64
+	// State is shared by all views while the instance has not started again.
+	State *Upstream
+}
+
+// Group is the instances of one service that new flows may be sent to.
+type Group struct {
+	// Local and Remote are ready instances of the own and of other data centres.
+	Local, Remote []*Backend
+	// Lapsed are those that have vanished from the list and may be back.
+	Lapsed []*Backend
+	// LocalSlots and Slots are the slots of Local, and of Local and Remote.
+	LocalSlots, Slots int
+}
+
+// Direct is the routing view of opaque flows: routes and instances. It is
+// immutable.
+type Direct struct {
+	Routing model.Routing
+	Roster  roster.Roster
+	// RoutingSeen and RosterSeen are when the store last confirmed them; zero
+	// means never.
+	RoutingSeen, RosterSeen time.Time
+
+	groups map[string]*Group
+	byID   map[uint64]*Backend
+	// byToken has several instances of a token when their hashes collide.
+	byToken map[uint32][]*Backend
+}
+
+// Group returns the instances of a service; never nil.
+func (d *Direct) Group(service string) *Group {
+	if g, ok := d.groups[service]; ok {
+		return g
+	}
+	return &Group{}
+}
+
+// Backend returns the instance with an ID.
+func (d *Direct) Backend(id uint64) (*Backend, bool) {
+	b, ok := d.byID[id]
+	return b, ok
+}
+
+// ByToken returns the instances that a token may name; usually one.
+func (d *Direct) ByToken(token uint32) []*Backend { return d.byToken[token] }
+
+// Backends returns all instances; users must not modify the map.
+func (d *Direct) Backends() map[uint64]*Backend { return d.byID }
+
+// Token returns the token of an instance: every balancer computes the same one.
+func Token(id uint64) uint32 {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], id)
+	if t := uint32(xxhash.Sum64(b[:])); t != 0 {
+		return t
+	}
+	return 1
+}
+
+// WithRouting returns a view with other routes.
+func (d *Direct) WithRouting(r model.Routing) *Direct {
+	next := *d
+	next.Routing = r
+	return &next
+}
+
+// WithRoutingSeen returns a view whose routes were confirmed at a time.
+func (d *Direct) WithRoutingSeen(t time.Time) *Direct {
+	next := *d
+	next.RoutingSeen = t
+	return &next
+}
+
+// WithRosterSeen returns a view whose instances were confirmed at a time.
+func (d *Direct) WithRosterSeen(t time.Time) *Direct {
+	next := *d
+	next.RosterSeen = t
+	return &next
+}
+
+// WithRoster returns a view of other instances, as seen from a data centre.
+func (d *Direct) WithRoster(r roster.Roster, dataCentre string) *Direct {
+	members := r.Members()
+	next := &Direct{
+		Routing: d.Routing, Roster: r,
+		RoutingSeen: d.RoutingSeen, RosterSeen: d.RosterSeen,
+		groups:  make(map[string]*Group),
+		byID:    make(map[uint64]*Backend, len(members)),
+		byToken: make(map[uint32][]*Backend, len(members)),
+	}
+	for id, m := range members {
+		b := next.add(d.byID[id], m)
+		g := next.groups[m.Instance.Service]
+		if g == nil {
+			g = &Group{}
+			next.groups[m.Instance.Service] = g
+		}
+		g.add(b, m.Instance.DataCentre == dataCentre)
+	}
+	return next
+}
+
+func (d *Direct) add(old *Backend, m roster.Member) *Backend {
+	b := &Backend{Member: m, Token: Token(m.Instance.ID)}
+	b.Key = xxhash.Sum64String(m.Instance.Name)
+	if old != nil && old.Instance.Born == m.Instance.Born {
+		b.State = old.State
+	} else {
+		b.State = &Upstream{}
+	}
+	d.byID[m.Instance.ID] = b
+	d.byToken[b.Token] = append(d.byToken[b.Token], b)
+	return b
+}
+
+func (g *Group) add(b *Backend, local bool) {
+	switch b.Status {
+	case roster.StatusReady:
+		g.Slots += b.Instance.Slots
+		if local {
+			g.Local = append(g.Local, b)
+			g.LocalSlots += b.Instance.Slots
+		} else {
+			g.Remote = append(g.Remote, b)
+		}
+	case roster.StatusLapsed:
+		g.Lapsed = append(g.Lapsed, b)
+	case roster.StatusDraining, roster.StatusUnreadable, roster.StatusGone:
+	}
+}
+
+// Direct returns the view of opaque flows in force; never nil.
+func (s *Set) Direct() *Direct {
+	if d := s.direct.Load(); d != nil {
+		return d
+	}
+	return &Direct{}
+}
+
+// UpdateDirect replaces the view by fn's result under the view lock; a nil
+// result keeps the view.
+func (s *Set) UpdateDirect(h *locks.Holder, fn func(*Direct) *Direct) bool {
+	s.viewMu.Lock(h, locks.RankView)
+	defer s.viewMu.Unlock(h, locks.RankView)
+	next := fn(s.Direct())
+	if next == nil {
+		return false
+	}
+	s.direct.Store(next)
+	return true
+}
--- a/core/table/set.go
+++ b/core/table/set.go
@@ -15,6 +15,7 @@
 type Set struct {
 	viewMu locks.Mutex
 	view   atomic.Pointer[View]
+	direct atomic.Pointer[Direct]
 
 	membersMu locks.Mutex
 	// detector is nil until the first UpdateMembers; membersMu protects it.
@@ -26,6 +27,8 @@
 
 	// Flows caches routes of flows without a token.
 	Flows Flows
+	// Tracks holds what this balancer has seen of opaque flows.
+	Tracks Tracks
 	// Probes holds packets of unknown route.
 	Probes Probes
 	// Readers tracks the revisions that workers route by.
--- /dev/null
+++ b/core/table/tracks.go
@@ -0,0 +1,224 @@
+package table
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretdock/core/locks"
+	"egretdock/core/packet"
+)
+
+// TrackState is how far a balancer has seen an opaque flow.
+type TrackState uint8
+
+// Track states.
+const (
+	// TrackOpening has seen openings only.
+	TrackOpening TrackState = iota
+	// TrackOpen has seen a packet that answers the instance's handshake.
+	TrackOpen
+	// TrackClosing has seen the client's last data.
+	TrackClosing
+)
+
+// MaxTried is the number of instances that an opening is sent to at most.
+const MaxTried = 4
+
+// Track is what one balancer has seen of an opaque flow. It is immutable. A
+// flow is served without one; the track adds what its token cannot tell.
+type Track struct {
+	State TrackState
+	// Instance gets the flow's packets; it is the last of those tried while the
+	// flow is opening.
+	Instance uint64
+	// Opened and Seen are the times of the first and the last packet; Sent is
+	// when the last opening was sent to Instance.
+	Opened, Seen, Sent time.Time
+	// Copy is the highest copy number of the openings.
+	Copy uint32
+	// Seq and Ack are the highest positions seen from the client once the flow
+	// is open.
+	Seq, Ack uint32
+	// Long is true for a flow that counts in its instance's open flows.
+	Long bool
+	// Syn is a copy of the opening while State is TrackOpening.
+	Syn []byte
+
+	tried  [MaxTried]uint64
+	nTried uint8
+}
+
+// Tried returns the instances that the opening was sent to, in order.
+func (t *Track) Tried() []uint64 { return t.tried[:t.nTried] }
+
+// HasTried reports whether the opening was sent to an instance.
+func (t *Track) HasTried(id uint64) bool {
+	for _, one := range t.Tried() {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// WithTry returns a copy whose opening was sent to an instance.
+func (t Track) WithTry(now time.Time, id uint64) Track {
+	t.Instance, t.Sent, t.Seen = id, now, now
+	if !t.HasTried(id) && int(t.nTried) < MaxTried {
+		t.tried[t.nTried] = id
+		t.nTried++
+	}
+	return t
+}
+
+// WithOpen returns a copy that is open at an instance.
+func (t Track) WithOpen(id uint64) Track {
+	t.State, t.Instance, t.Syn = TrackOpen, id, nil
+	return t
+}
+
+// WithSegment returns a copy that has seen a packet of the open flow, and
+// whether the packet repeats data seen before or acknowledges new data.
+func (t Track) WithSegment(now time.Time, s *packet.Segment) (next Track, repeated, progress bool) {
+	end := s.Seq + uint32(s.Data)
+	repeated = s.Data > 0 && t.Seq != 0 && int32(end-t.Seq) <= 0
+	progress = t.Ack != 0 && int32(s.Ack-t.Ack) > 0
+	if t.Seq == 0 || int32(end-t.Seq) > 0 {
+		t.Seq = end
+	}
+	if t.Ack == 0 || int32(s.Ack-t.Ack) > 0 {
+		t.Ack = s.Ack
+	}
+	t.Seen = now
+	if s.Kind == packet.SegmentFin {
+		t.State = TrackClosing
+	}
+	return t, repeated, progress
+}
+
+const (
+	trackShards = 16
+	// DefaultTrackLimit is the number of flows that one balancer tracks: above
+	// twice the 23,000 open flows of a balancer at the target size.
+	DefaultTrackLimit = 1 << 16
+)
+
+// Tracks is the table of opaque flows that a balancer has seen. A full table
+// takes no new flow, which is then served by its token alone. When two workers
+// handle packets of one flow at a time, the later Put wins; that loses one
+// observation, never the flow. The zero value is empty.
+type Tracks struct {
+	shards [trackShards]trackShard
+}
+
+type trackShard struct {
+	mu locks.Mutex
+	m  map[packet.FlowID]Track
+	// opening holds the keys of m whose track is opening.
+	opening map[packet.FlowID]struct{}
+}
+
+func (s *trackShard) note(f packet.FlowID, t *Track) {
+	if t.State != TrackOpening {
+		delete(s.opening, f)
+		return
+	}
+	if s.opening == nil {
+		s.opening = make(map[packet.FlowID]struct{})
+	}
+	s.opening[f] = struct{}{}
+}
+
+func (ts *Tracks) shard(f packet.FlowID) *trackShard {
+	b := f.Client.Addr().As4()
+	x := uint64(binary.LittleEndian.Uint32(b[:]))<<16 | uint64(f.Client.Port())
+	binary.LittleEndian.PutUint32(b[:], uint32(x>>16))
+	return &ts.shards[xxhash.Sum64(append(b[:], byte(x), byte(x>>8)))%trackShards]
+}
+
+// Get returns the track of a flow.
+func (ts *Tracks) Get(h *locks.Holder, f packet.FlowID) (Track, bool) {
+	s := ts.shard(f)
+	s.mu.Lock(h, locks.RankTracks)
+	defer s.mu.Unlock(h, locks.RankTracks)
+	t, ok := s.m[f]
+	return t, ok
+}
+
+// Put stores the track of a flow. It reports false when the table is full.
+func (ts *Tracks) Put(h *locks.Holder, f packet.FlowID, t Track) bool {
+	s := ts.shard(f)
+	s.mu.Lock(h, locks.RankTracks)
+	defer s.mu.Unlock(h, locks.RankTracks)
+	if s.m == nil {
+		s.m = make(map[packet.FlowID]Track)
+	}
+	if _, ok := s.m[f]; !ok && len(s.m) >= DefaultTrackLimit/trackShards {
+		return false
+	}
+	s.m[f] = t
+	s.note(f, &t)
+	return true
+}
+
+// Openings returns the flows whose opening matches fn.
+func (ts *Tracks) Openings(h *locks.Holder, fn func(Track) bool) []packet.FlowID {
+	var out []packet.FlowID
+	for i := range ts.shards {
+		s := &ts.shards[i]
+		s.mu.Lock(h, locks.RankTracks)
+		for f := range s.opening {
+			if fn(s.m[f]) {
+				out = append(out, f)
+			}
+		}
+		s.mu.Unlock(h, locks.RankTracks)
+	}
+	return out
+}
+
+// Drop removes and returns the track of a flow.
+func (ts *Tracks) Drop(h *locks.Holder, f packet.FlowID) (Track, bool) {
+	s := ts.shard(f)
+	s.mu.Lock(h, locks.RankTracks)
+	defer s.mu.Unlock(h, locks.RankTracks)
+	t, ok := s.m[f]
+	delete(s.m, f)
+	delete(s.opening, f)
+	return t, ok
+}
+
+// Len returns the number of flows.
+func (ts *Tracks) Len(h *locks.Holder) int {
+	n := 0
+	for i := range ts.shards {
+		s := &ts.shards[i]
+		s.mu.Lock(h, locks.RankTracks)
+		n += len(s.m)
+		s.mu.Unlock(h, locks.RankTracks)
+	}
+	return n
+}
+
+// Sweep removes the tracks for which fn reports true and passes each removed
+// one to gone, outside the lock.
+func (ts *Tracks) Sweep(h *locks.Holder, fn func(Track) bool, gone func(Track)) {
+	var out []Track
+	for i := range ts.shards {
+		s := &ts.shards[i]
+		s.mu.Lock(h, locks.RankTracks)
+		for f, t := range s.m {
+			if fn(t) {
+				delete(s.m, f)
+				delete(s.opening, f)
+				out = append(out, t)
+			}
+		}
+		s.mu.Unlock(h, locks.RankTracks)
+	}
+	for _, t := range out {
+		gone(t)
+	}
+}
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -22,6 +22,11 @@
 	// placed counts the openings that this balancer sent there first; it is
 	// halved at each Fade.
 	placed atomic.Int32
+	// open counts the long opaque flows that this balancer has seen open there.
+	open atomic.Int32
+	// doubtUntil mirrors Health for readers without the lock, in nanoseconds of
+	// the process's steady clock.
+	doubtUntil atomic.Int64
 
 	// Admit is the admission state of the current incarnation.
 	Admit admit.Upstream
@@ -45,6 +50,30 @@
 	u.mu.Unlock(h, locks.RankUpstreams)
 }
 
+// Observe takes in a signal about an instance of opaque flows.
+func (u *Upstream) Observe(h *locks.Holder, now time.Time, sig health.Signal) {
+	u.Lock(h)
+	defer u.Unlock(h)
+	u.Health = u.Health.With(now, sig)
+	u.doubtUntil.Store(int64(u.Health.DoubtUntil().Sub(steadyStart)))
+}
+
+// Doubtful reports whether the instance left openings or requests unanswered of
+// late.
+func (u *Upstream) Doubtful(now time.Time) bool {
+	return int64(now.Sub(steadyStart)) < u.doubtUntil.Load()
+}
+
+// steadyStart anchors times kept as numbers, so that a step of the time of day
+// does not move them.
+var steadyStart = time.Now()
+
+// CountOpen adds to the long flows that this balancer has seen open there.
+func (u *Upstream) CountOpen(n int32) { u.open.Add(n) }
+
+// Open returns the long flows that this balancer has seen open there.
+func (u *Upstream) Open() int32 { return u.open.Load() }
+
 // Busy reports whether this balancer has work pending at the upstream.
 func (u *Upstream) Busy() bool { return u.busy.Load() }
 
--- a/io/admin/pages.go
+++ b/io/admin/pages.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/rcrowley/go-metrics"
+
 	"egretdock/core/clock"
 )
 
@@ -31,6 +33,15 @@
 	writeJSON(w, all)
 }
 
+// NewMetricsHandler serves a registry as text, for processes without the other
+// pages.
+func NewMetricsHandler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		plain(w, http.StatusOK)
+		_ = writeText(w, collect(r))
+	})
+}
+
 // healthz fails when the engine has not handled a tick for stuckAfter. It does
 // not touch the tables.
 func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -166,7 +166,7 @@
 		if d.cfg.Fetch != nil {
 			d.cfg.Fetch(e.Peer, e.Revision)
 		}
-	case *effect.Gossip, *effect.ToUpstream, *effect.ToClient, *effect.ToPeer:
+	case *effect.Gossip, *effect.ToUpstream, *effect.ToClient, *effect.ToPeer, *effect.Deliver, *effect.ResetFlow, *effect.Wake:
 	}
 }
 
--- a/io/daemon/stats.go
+++ b/io/daemon/stats.go
@@ -26,6 +26,7 @@
 	}
 	r.GetOrRegister("datagrams_malformed", metrics.NewFunctionalGauge(c.Malformed.Load))
 	r.GetOrRegister("datagrams_unauthentic", metrics.NewFunctionalGauge(c.Unauthentic.Load))
+	r.GetOrRegister("datagrams_failed", metrics.NewFunctionalGauge(c.Failed.Load))
 	r.GetOrRegister("gossip_bytes", metrics.NewFunctionalGauge(c.GossipBytes.Load))
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
 	return &stats{
@@ -69,7 +70,7 @@
 		c.stats.gossip.Inc(1)
 	case *effect.Event:
 		c.stats.events.Inc(1)
-	case *effect.Poll, *effect.Fetch:
+	case *effect.Poll, *effect.Fetch, *effect.Deliver, *effect.ResetFlow, *effect.Wake:
 	}
 	c.Sink.Put(e)
 }
--- a/io/dgram/sink.go
+++ b/io/dgram/sink.go
@@ -66,12 +66,16 @@
 		s.peers.add(e.To, func(b []byte) []byte { return append(append(b, peerGossip), frame...) })
 	case *effect.Poll, *effect.Fetch, *effect.Event:
 		s.other(e)
+	case *effect.Deliver, *effect.ResetFlow, *effect.Wake:
+		// Only front ends of opaque flows cause these.
 	}
 }
 
 // Flush implements worker.Sink.
 func (s *Sink) Flush() {
-	s.clients.flush()
-	s.upstreams.flush()
-	s.peers.flush()
+	for _, w := range []*writer{s.clients, s.upstreams, s.peers} {
+		w.flush()
+		s.count.Failed.Add(int64(w.failed))
+		w.failed = 0
+	}
 }
--- a/io/dgram/socket.go
+++ b/io/dgram/socket.go
@@ -98,7 +98,7 @@
 	msgs   []ipv4.Message
 	addrs  []net.UDPAddr
 	n      int
-	// Failed counts datagrams that the kernel did not take.
+	// failed counts datagrams that the kernel did not take.
 	failed int
 }
 
--- /dev/null
+++ b/io/feed/feed.go
@@ -0,0 +1,126 @@
+// Package feed follows the routes and the list of instances in the platform's
+// store and passes what it learns on as inputs.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"egretdock/core/effect"
+	"egretdock/core/input"
+	"egretdock/core/limit"
+	"egretdock/platform"
+)
+
+const (
+	// WatchWait is how long a watch waits for a change. A connection that went
+	// silent is noticed after WatchWait + answerSlack, which must stay below the
+	// 3 s in which a configuration has to be in force.
+	WatchWait = 2 * time.Second
+	// answerSlack is the time that a slow store takes for an answer: 60 times
+	// its usual 4 ms, and a round trip.
+	answerSlack = 500 * time.Millisecond
+	// listTimeout bounds one list call, which does not wait.
+	listTimeout = 1500 * time.Millisecond
+	// retryFirst and retryMost bound the wait after a failed call; each call is
+	// paid for, refused ones too.
+	retryFirst, retryMost = 100 * time.Millisecond, time.Second
+)
+
+// Feed follows the store. All fields are required.
+type Feed struct {
+	Store *platform.Store
+	// Push takes an input; it may block.
+	Push func(input.Input)
+	// Event reports something for the log; it must not block.
+	Event func(effect.Event)
+	// Call is told of each call's duration and outcome.
+	Call func(d time.Duration, ok bool)
+	// Seed starts the random source of the retries.
+	Seed uint64
+}
+
+// Run follows the store until ctx ends.
+func (f *Feed) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return f.follow(ctx, &routes{f: f}) })
+	g.Go(func() error { return f.follow(ctx, &instances{f: f}) })
+	return g.Wait()
+}
+
+// source is one kind of objects to follow.
+type source interface {
+	name() string
+	// list reads everything and returns the revision to watch from.
+	list(ctx context.Context) (uint64, error)
+	// watch reads what changed after a revision.
+	watch(ctx context.Context, from uint64) (uint64, error)
+	// away is told when the store stops or starts to answer.
+	away(bool)
+}
+
+// follow lists and then watches, and lists again only when the store has
+// forgotten the revision.
+func (f *Feed) follow(ctx context.Context, s source) error {
+	rnd := rand.New(rand.NewPCG(f.Seed, uint64(len(s.name()))))
+	var at uint64
+	failed := 0
+	lost := time.Time{}
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, s, at)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err == nil:
+			if failed > 0 {
+				s.away(false)
+				f.Event(effect.Event{Name: "store_regained", List: next, Detail: "kind=" + s.name() + " after=" + time.Since(lost).String()})
+			}
+			failed, at = 0, next
+			continue
+		case errors.Is(err, platform.ErrHistoryGone):
+			f.Event(effect.Event{Name: "history_gone", List: at, Detail: "kind=" + s.name() + " action=list"})
+			at = 0
+			continue
+		}
+		if failed++; failed == 1 {
+			lost = time.Now()
+			s.away(true)
+			f.Event(effect.Event{Name: "store_lost", List: at, Detail: "kind=" + s.name() + " err=" + err.Error()})
+		}
+		f.Store.Forget()
+		if !sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd)) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// step makes one call: a list without a revision to watch from, else a watch.
+func (f *Feed) step(ctx context.Context, s source, at uint64) (uint64, error) {
+	timeout, call := listTimeout, s.list
+	if at > 0 {
+		timeout, call = WatchWait+answerSlack, func(ctx context.Context) (uint64, error) { return s.watch(ctx, at) }
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	start := time.Now()
+	next, err := call(ctx)
+	f.Call(time.Since(start), err == nil)
+	return next, err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/front/leave.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"egretdock/core/effect"
+)
+
+const (
+	// noticeTime is the time in which routers take a balancer out of rotation:
+	// two probes 500 ms apart that fail, and the time until the first of them.
+	noticeTime = 1500 * time.Millisecond
+	// quietTime without a packet shows that routers send none any more.
+	quietTime = 300 * time.Millisecond
+	// leaveCheck is the interval at which a leaving balancer looks for packets.
+	leaveCheck = 100 * time.Millisecond
+	// exitTime is kept of the grace for the exit itself.
+	exitTime = time.Second
+)
+
+// leave turns unready and forwards until the routers have noticed.
+func (a *App) leave() {
+	a.leaving.Store(true)
+	start := time.Now()
+	a.event(effect.Event{Name: "leaving", Detail: "grace=" + a.settings.Grace.String()})
+	t := time.NewTicker(leaveCheck)
+	defer t.Stop()
+	seen, changed := a.packets.Load(), start
+	for now := range t.C {
+		if n := a.packets.Load(); n != seen {
+			seen, changed = n, now
+		}
+		waited := now.Sub(start)
+		if waited >= noticeTime && now.Sub(changed) >= quietTime || waited >= a.settings.Grace-exitTime {
+			return
+		}
+	}
+}
+
+// loop runs a function as a kratos server.
+type loop struct {
+	run    func(context.Context) error
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newLoop(run func(context.Context) error) *loop {
+	l := &loop{run: run, done: make(chan struct{})}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// Start implements transport.Server.
+func (l *loop) Start(context.Context) error {
+	defer close(l.done)
+	return l.run(l.ctx)
+}
+
+// Stop implements transport.Server.
+func (l *loop) Stop(context.Context) error {
+	l.cancel()
+	<-l.done
+	return nil
+}
--- a/io/logs/line.go
+++ b/io/logs/line.go
@@ -1,9 +1,11 @@
 package logs
 
 import (
+	"net/netip"
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -28,6 +30,16 @@
 	{"customer", func(r *Record) string { return r.Event.Customer }, func(r *Record, v string) error { return setText(&r.Event.Customer, v) }},
 	{"upstream", func(r *Record) string { return r.Event.Upstream }, func(r *Record, v string) error { return setText(&r.Event.Upstream, v) }},
 	{"revision", func(r *Record) string { return number(r.Event.Revision) }, func(r *Record, v string) error { return setNumber(&r.Event.Revision, v) }},
+	{"client", func(r *Record) string { return address(r.Event.Client) }, func(r *Record, v string) error { return setAddress(&r.Event.Client, v) }},
+	{"address", func(r *Record) string { return address(r.Event.Address) }, func(r *Record, v string) error { return setAddress(&r.Event.Address, v) }},
+	{"request", func(r *Record) string { return r.Event.Request }, func(r *Record, v string) error { return setText(&r.Event.Request, v) }},
+	{"service", func(r *Record) string { return r.Event.Service }, func(r *Record, v string) error { return setText(&r.Event.Service, v) }},
+	{"age", func(r *Record) string { return duration(r.Event.Age) }, func(r *Record, v string) error { return setDuration(&r.Event.Age, v) }},
+	{"list", func(r *Record) string { return number(r.Event.List) }, func(r *Record, v string) error { return setNumber(&r.Event.List, v) }},
+	{"list_age", func(r *Record) string { return duration(r.Event.ListAge) }, func(r *Record, v string) error { return setDuration(&r.Event.ListAge, v) }},
+	{"took", func(r *Record) string { return duration(r.Event.Took) }, func(r *Record, v string) error { return setDuration(&r.Event.Took, v) }},
+	{"load", func(r *Record) string { return number(uint64(r.Event.Load)) }, func(r *Record, v string) error { return setCount(&r.Event.Load, v) }},
+	{"candidates", func(r *Record) string { return number(uint64(r.Event.Candidates)) }, func(r *Record, v string) error { return setCount(&r.Event.Candidates, v) }},
 	{"detail", func(r *Record) string { return r.Event.Detail }, func(r *Record, v string) error { return setText(&r.Event.Detail, v) }},
 }
 
@@ -138,6 +150,38 @@
 	return err
 }
 
+func address(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+func setAddress(to *netip.AddrPort, v string) (err error) {
+	*to, err = netip.ParseAddrPort(v)
+	return err
+}
+
+func duration(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.Round(durationUnit).String()
+}
+
+// durationUnit is the precision of durations in lines.
+const durationUnit = 10 * time.Microsecond
+
+func setDuration(to *time.Duration, v string) (err error) {
+	*to, err = time.ParseDuration(v)
+	return err
+}
+
+func setCount(to *int, v string) (err error) {
+	*to, err = strconv.Atoi(v)
+	return err
+}
+
 func setAt(r *Record, v string) (err error) {
 	r.At, err = clock.Parse(v)
 	return err
--- a/io/logs/logger.go
+++ b/io/logs/logger.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"io"
 	"sync"
 	"time"
 
@@ -34,6 +35,13 @@
 	stamp clock.Stamp
 }
 
+// SetOutput makes klog write the lines of this process to w instead of standard
+// error. It is called before the first line.
+func SetOutput(w io.Writer) {
+	klog.LogToStderr(false)
+	klog.SetOutput(w)
+}
+
 // NewLogger returns a logger without events.
 func NewLogger(o Options) *Logger {
 	if o.Now == nil {
--- a/io/logs/record.go
+++ b/io/logs/record.go
@@ -30,7 +30,7 @@
 }
 
 // maxText bounds a text of an event, so that the memory of the ring is bounded
-// and the four texts fit into a line of 5 KB even when each byte is escaped.
+// and the six texts fit into a line of 7 KB even when each byte is escaped.
 const maxText = 256
 
 // WithEvent returns a copy with another event, the texts of which are cut to
@@ -40,6 +40,8 @@
 	e.Customer = cut(e.Customer)
 	e.Upstream = cut(e.Upstream)
 	e.Detail = cut(e.Detail)
+	e.Request = cut(e.Request)
+	e.Service = cut(e.Service)
 	r.Event = e
 	return r
 }
--- a/io/subcmd/base.go
+++ b/io/subcmd/base.go
@@ -25,6 +25,7 @@
 		cdr.Register(c, "configuration")
 	}
 	cdr.Register(&serve{Env: e}, "run")
+	cdr.Register(&direct{Env: e}, "run")
 	cdr.Register(&Timeline{Out: e.Out, Err: e.Err}, "observe")
 }
 
