Let one balancer of each data centre read the store and pass news on

Membership finds peers through the seeds; the first live balancer by hash reads, the others wait for its news over connect-go and read for themselves while those are not current.

Ruled out: longer watches, since a connection that went silent must be noticed within the 3 s of the configuration's bound.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -19,7 +19,7 @@
 		if in.Routing.Revision > d.Routing.Revision {
 			d, changed = d.WithRouting(in.Routing.WithPrevious(d.Routing)), true
 		}
-		return d.WithRoutingSeen(now)
+		return d.WithRoutingSeen(latest(d.RoutingSeen, now.Add(-in.Age)))
 	})
 	return changed
 }
@@ -36,9 +36,16 @@
 	})
 }
 
-// ConfirmRoster notes that the store confirmed the instances.
-func ConfirmRoster(h *locks.Holder, now time.Time, s *table.Set) {
-	s.UpdateDirect(h, func(d *table.Direct) *table.Direct { return d.WithRosterSeen(now) })
+// ConfirmRoster notes that the store confirmed the instances at a time.
+func ConfirmRoster(h *locks.Holder, at time.Time, s *table.Set) {
+	s.UpdateDirect(h, func(d *table.Direct) *table.Direct { return d.WithRosterSeen(latest(d.RosterSeen, at)) })
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // TrackOpening stores that an opening was sent to an instance.
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -50,7 +50,7 @@
 	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
 		return r.WithList(now, in.Entries, in.Revision), true
 	})
-	cmds.ConfirmRoster(&w.locks, now, &e.Tables)
+	cmds.ConfirmRoster(&w.locks, now.Add(-in.Age), &e.Tables)
 }
 
 func (e *Engine) listChanged(w *Work, now time.Time, in *input.ListChanged) {
@@ -59,7 +59,7 @@
 			return r.WithChanges(now, in.Changes, in.Revision), true
 		})
 	}
-	cmds.ConfirmRoster(&w.locks, now, &e.Tables)
+	cmds.ConfirmRoster(&w.locks, now.Add(-in.Age), &e.Tables)
 }
 
 func (e *Engine) storeChanged(w *Work, now time.Time, in *input.StoreChanged) {
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -97,13 +97,19 @@
 
 // Routed says that the store confirmed the routes of opaque flows. Routing has
 // revision 0 when nothing has changed.
-type Routed struct{ Routing model.Routing }
+type Routed struct {
+	Routing model.Routing
+	// Age is the time since the store's answer, as another balancer passed it on.
+	Age time.Duration
+}
 
 // Listed delivers the whole list of instances. Entries that can't be read are
 // listed with ChangeUnreadable.
 type Listed struct {
 	Revision uint64
 	Entries  []model.InstanceChange
+	// Age is that of Routed.
+	Age time.Duration
 }
 
 // ListChanged delivers the changes of the list of instances up to a revision;
@@ -111,6 +117,8 @@
 type ListChanged struct {
 	Revision uint64
 	Changes  []model.InstanceChange
+	// Age is that of Routed.
+	Age time.Duration
 }
 
 // StoreChanged says whether the store answers for the list of instances.
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -100,6 +100,15 @@
 	return r
 }
 
+// Routes returns all routes in no order.
+func (r Routing) Routes() []Route {
+	out := make([]Route, 0, len(r.routes))
+	for _, one := range r.routes {
+		out = append(out, one)
+	}
+	return out
+}
+
 // Len returns the number of routes.
 func (r Routing) Len() int { return len(r.routes) }
 
--- /dev/null
+++ b/core/query/news.go
@@ -0,0 +1,64 @@
+package query
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/core/table"
+)
+
+// News is what a balancer knows of routes and instances beyond the revisions of
+// another one. It is immutable.
+type News struct {
+	// Routing has revision 0 when it is not newer.
+	Routing model.Routing
+	// List is the revision of the list that Entries bring the receiver to.
+	List uint64
+	// Whole is true when Entries are the whole list and not changes.
+	Whole   bool
+	Entries []model.InstanceChange
+	// RoutingAge and ListAge are the times since the store confirmed them.
+	RoutingAge, ListAge time.Duration
+	// Away is true while the store does not answer the balancer.
+	Away bool
+}
+
+// Empty reports whether the news only confirms what the receiver has.
+func (n News) Empty() bool {
+	return n.Routing.Revision == 0 && len(n.Entries) == 0 && !n.Whole && !n.Away
+}
+
+// NewsAfter returns the news for a balancer that has these revisions.
+func NewsAfter(d *table.Direct, routing, list uint64, now time.Time) News {
+	n := News{
+		List: d.Roster.Revision, Away: d.Roster.Away,
+		RoutingAge: now.Sub(d.RoutingSeen), ListAge: now.Sub(d.RosterSeen),
+	}
+	if d.Routing.Revision > routing {
+		n.Routing = d.Routing
+	}
+	if d.Roster.Revision > list {
+		n.Entries, n.Whole = d.Roster.Since(list)
+	}
+	return n
+}
+
+// Reader returns the live balancer that reads the store for a data centre: the
+// first by the hash of its name. While members disagree several read, which
+// only costs calls.
+func Reader(v member.View, dataCentre string) (model.Balancer, bool) {
+	var best model.Balancer
+	var score uint64
+	for _, b := range v.Balancers() {
+		if b.DataCentre != dataCentre || !b.Fetch.IsValid() {
+			continue
+		}
+		if s := xxhash.Sum64String(b.Name); best.Name == "" || s > score {
+			best, score = b, s
+		}
+	}
+	return best, best.Name != ""
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,6 +52,9 @@
 type Member struct {
 	Instance model.Instance
 	Status   Status
+	// Changed is the revision of the list at which its entry last changed, as
+	// far as this balancer knows.
+	Changed uint64
 	// Since is when the status began, as this balancer learnt it.
 	Since time.Time
 }
@@ -63,6 +66,8 @@
 	Revision uint64
 	// Away is true while the store does not answer. Nothing lapses meanwhile.
 	Away bool
+	// Floor is the highest Changed of the members that were forgotten.
+	Floor uint64
 
 	members map[uint64]Member
 }
@@ -82,7 +87,7 @@
 	if revision < r.Revision {
 		return r
 	}
-	e := r.edit(now)
+	e := r.edit(now, revision)
 	listed := make(map[uint64]bool, len(list))
 	for _, c := range list {
 		listed[c.Instance.ID] = true
@@ -93,7 +98,7 @@
 			e.remove(id)
 		}
 	}
-	return e.done(revision)
+	return e.done()
 }
 
 // WithChanges returns a copy that has seen the changes up to a revision.
@@ -105,11 +110,11 @@
 		r.Revision = revision
 		return r
 	}
-	e := r.edit(now)
+	e := r.edit(now, revision)
 	for _, c := range changes {
 		e.apply(c)
 	}
-	return e.done(revision)
+	return e.done()
 }
 
 // WithStore returns a copy that knows whether the store answers. On its return
@@ -123,14 +128,14 @@
 	if away {
 		return r
 	}
-	e := r.edit(now)
+	e := r.edit(now, r.Revision)
 	for id, m := range e.next {
 		if m.Status == StatusLapsed {
 			m.Since = now
 			e.next[id] = m
 		}
 	}
-	return e.done(r.Revision)
+	return e.done()
 }
 
 // WithTime returns a copy in which lapsed entries whose grace is over are gone
@@ -148,18 +153,20 @@
 			continue
 		}
 		if e == nil {
-			e = r.edit(now)
+			e = r.edit(now, r.Revision)
 		}
 		if forgotten {
+			e.roster.Floor = max(e.roster.Floor, m.Changed)
 			delete(e.next, id)
 		} else {
-			e.set(id, StatusGone)
+			m.Status, m.Since = StatusGone, now
+			e.next[id] = m
 		}
 	}
 	if e == nil {
 		return r, false
 	}
-	return e.done(r.Revision), true
+	return e.done(), true
 }
 
 // edit collects changes of a copy.
@@ -167,17 +174,19 @@
 	roster Roster
 	next   map[uint64]Member
 	now    time.Time
+	// revision is that of the list after the edit.
+	revision uint64
 }
 
-func (r Roster) edit(now time.Time) *edit {
+func (r Roster) edit(now time.Time, revision uint64) *edit {
 	next := make(map[uint64]Member, len(r.members)+1)
 	maps.Copy(next, r.members)
-	return &edit{roster: r, next: next, now: now}
+	return &edit{roster: r, next: next, now: now, revision: revision}
 }
 
-func (e *edit) done(revision uint64) Roster {
+func (e *edit) done() Roster {
 	e.roster.members = e.next
-	e.roster.Revision = max(e.roster.Revision, revision)
+	e.roster.Revision = max(e.roster.Revision, e.revision)
 	return e.roster
 }
 
@@ -199,7 +208,10 @@
 	if known && old.Instance.Revision > in.Revision {
 		return
 	}
-	m := Member{Instance: in, Since: e.now}
+	m := Member{Instance: in, Since: e.now, Changed: e.revision}
+	if known && old.Instance == in {
+		m.Changed = old.Changed
+	}
 	if in.Draining {
 		m.Status = StatusDraining
 	}
@@ -233,6 +245,31 @@
 
 func (e *edit) set(id uint64, s Status) {
 	m := e.next[id]
-	m.Status, m.Since = s, e.now
+	m.Status, m.Since, m.Changed = s, e.now, e.revision
 	e.next[id] = m
 }
+
+// Since returns the entries that changed after a revision, for a balancer that
+// has that revision. whole is true when they are the whole list, because too
+// much has been forgotten to tell what was removed.
+func (r Roster) Since(revision uint64) (changes []model.InstanceChange, whole bool) {
+	whole = revision < r.Floor || revision == 0
+	for _, m := range r.members {
+		if !whole && m.Changed <= revision {
+			continue
+		}
+		c := model.InstanceChange{Instance: m.Instance}
+		switch m.Status {
+		case StatusReady, StatusDraining:
+		case StatusUnreadable:
+			c.Kind = model.ChangeUnreadable
+		case StatusLapsed, StatusGone:
+			if whole {
+				continue
+			}
+			c.Kind = model.ChangeRemoved
+		}
+		changes = append(changes, c)
+	}
+	return changes, whole
+}
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -163,10 +163,26 @@
 func (s *Set) UpdateDirect(h *locks.Holder, fn func(*Direct) *Direct) bool {
 	s.viewMu.Lock(h, locks.RankView)
 	defer s.viewMu.Unlock(h, locks.RankView)
-	next := fn(s.Direct())
+	prev := s.Direct()
+	next := fn(prev)
 	if next == nil {
 		return false
 	}
 	s.direct.Store(next)
+	if s.renewed != nil && (next.Routing.Revision != prev.Routing.Revision || next.Roster.Revision != prev.Roster.Revision || next.Roster.Away != prev.Roster.Away) {
+		close(s.renewed)
+		s.renewed = nil
+	}
 	return true
 }
+
+// Renewed returns the view of opaque flows and a channel that is closed when the
+// view gets other revisions.
+func (s *Set) Renewed(h *locks.Holder) (*Direct, <-chan struct{}) {
+	s.viewMu.Lock(h, locks.RankView)
+	defer s.viewMu.Unlock(h, locks.RankView)
+	if s.renewed == nil {
+		s.renewed = make(chan struct{})
+	}
+	return s.Direct(), s.renewed
+}
--- a/core/table/set.go
+++ b/core/table/set.go
@@ -16,6 +16,9 @@
 	viewMu locks.Mutex
 	view   atomic.Pointer[View]
 	direct atomic.Pointer[Direct]
+	// renewed is closed and replaced when direct gets another revision; viewMu
+	// protects it.
+	renewed chan struct{}
 
 	membersMu locks.Mutex
 	// detector is nil until the first UpdateMembers; membersMu protects it.
--- a/io/dgram/flows.go
+++ b/io/dgram/flows.go
@@ -6,6 +6,7 @@
 	"egretdock/core/effect"
 	"egretdock/core/input"
 	"egretdock/core/packet"
+	"egretdock/io/gossip"
 	"egretdock/platform"
 )
 
@@ -45,18 +46,23 @@
 	})
 }
 
-// FlowSink sends the packets of opaque flows and hands all other effects on.
+// FlowSink sends the packets of opaque flows and membership messages, and hands
+// all other effects on.
 type FlowSink struct {
-	out   *writer
-	port  uint16
-	count *Counters
-	other func(effect.Effect)
+	out, peers *writer
+	gossip     *gossip.Sealer
+	port       uint16
+	count      *Counters
+	other      func(effect.Effect)
 }
 
-// NewFlowSink returns a sink for one worker. Clients receive at the socket's own
-// port number. other receives the effects that are not packets of flows.
-func NewFlowSink(s *Socket, count *Counters, other func(effect.Effect)) *FlowSink {
-	return &FlowSink{out: newWriter(s), port: s.Addr().Port(), count: count, other: other}
+// NewFlowSink returns a sink for one worker. Clients receive at the port number
+// of the flows' socket. other receives the effects that are no datagrams.
+func NewFlowSink(flows, peers *Socket, sealer *gossip.Sealer, count *Counters, other func(effect.Effect)) *FlowSink {
+	return &FlowSink{
+		out: newWriter(flows), peers: newWriter(peers), gossip: sealer,
+		port: flows.Addr().Port(), count: count, other: other,
+	}
 }
 
 // Put implements worker.Sink.
@@ -67,6 +73,8 @@
 	case *effect.ResetFlow:
 		to := netip.AddrPortFrom(e.Flow.Client.Addr(), s.port)
 		s.out.add(to, func(b []byte) []byte { return platform.AppendReset(b, e.Flow, e.Seq) })
+	case *effect.Gossip:
+		sendGossip(s.peers, s.gossip, s.count, e)
 	default:
 		s.other(e)
 	}
@@ -74,7 +82,5 @@
 
 // Flush implements worker.Sink.
 func (s *FlowSink) Flush() {
-	s.out.flush()
-	s.count.Failed.Add(int64(s.out.failed))
-	s.out.failed = 0
+	flushAll(s.count, s.out, s.peers)
 }
--- a/io/dgram/sink.go
+++ b/io/dgram/sink.go
@@ -60,10 +60,7 @@
 	case *effect.ToPeer:
 		s.peers.add(e.To, func(b []byte) []byte { return s.seals.Wire.AppendRelay(append(b, peerRelay), &e.Relay) })
 	case *effect.Gossip:
-		frame := s.seals.Gossip.Seal(e.Message)
-		s.count.GossipBytes.Add(int64(len(frame) + 1))
-		s.count.GossipMessages.Add(1)
-		s.peers.add(e.To, func(b []byte) []byte { return append(append(b, peerGossip), frame...) })
+		sendGossip(s.peers, s.seals.Gossip, s.count, e)
 	case *effect.Poll, *effect.Fetch, *effect.Event:
 		s.other(e)
 	case *effect.Deliver, *effect.ResetFlow, *effect.Wake:
@@ -72,10 +69,20 @@
 }
 
 // Flush implements worker.Sink.
-func (s *Sink) Flush() {
-	for _, w := range []*writer{s.clients, s.upstreams, s.peers} {
+func (s *Sink) Flush() { flushAll(s.count, s.clients, s.upstreams, s.peers) }
+
+func sendGossip(w *writer, sealer *gossip.Sealer, count *Counters, e *effect.Gossip) {
+	frame := sealer.Seal(e.Message)
+	count.GossipBytes.Add(int64(len(frame) + 1))
+	count.GossipMessages.Add(1)
+	w.add(e.To, func(b []byte) []byte { return append(append(b, peerGossip), frame...) })
+}
+
+// flushAll sends what the writers have collected and counts what failed.
+func flushAll(count *Counters, ws ...*writer) {
+	for _, w := range ws {
 		w.flush()
-		s.count.Failed.Add(int64(w.failed))
+		count.Failed.Add(int64(w.failed))
 		w.failed = 0
 	}
 }
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -26,6 +26,9 @@
 	answerSlack = 500 * time.Millisecond
 	// listTimeout bounds one list call, which does not wait.
 	listTimeout = 1500 * time.Millisecond
+	// groupTime is the pause after a change, so that one call fetches the changes
+	// that follow closely. It delays news by no more than it says.
+	groupTime = 100 * time.Millisecond
 	// retryFirst and retryMost bound the wait after a failed call; each call is
 	// paid for, refused ones too.
 	retryFirst, retryMost = 100 * time.Millisecond, time.Second
@@ -34,6 +37,8 @@
 // Feed follows the store. All fields are required.
 type Feed struct {
 	Store *platform.Store
+	Peers Peers
+	Fleet Fleet
 	// Push takes an input; it may block.
 	Push func(input.Input)
 	// Event reports something for the log; it must not block.
@@ -42,11 +47,15 @@
 	Call func(d time.Duration, ok bool)
 	// Seed starts the random source of the retries.
 	Seed uint64
+
+	gate *gate
 }
 
 // Run follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
+	f.gate = newGate()
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return f.followPeers(ctx) })
 	g.Go(func() error { return f.follow(ctx, &routes{f: f}) })
 	g.Go(func() error { return f.follow(ctx, &instances{f: f}) })
 	return g.Wait()
@@ -59,27 +68,50 @@
 	list(ctx context.Context) (uint64, error)
 	// watch reads what changed after a revision.
 	watch(ctx context.Context, from uint64) (uint64, error)
+	// known returns a revision from which a watch misses nothing, or 0.
+	known() uint64
 	// away is told when the store stops or starts to answer.
 	away(bool)
 }
 
-// follow lists and then watches, and lists again only when the store has
-// forgotten the revision.
+// follow reads one kind of objects while the gate is open.
 func (f *Feed) follow(ctx context.Context, s source) error {
 	rnd := rand.New(rand.NewPCG(f.Seed, uint64(len(s.name()))))
-	var at uint64
+	for {
+		open := f.gate.wait(ctx)
+		if open == nil || ctx.Err() != nil {
+			return nil
+		}
+		f.followStore(open, s, rnd)
+	}
+}
+
+// followStore lists and then watches until ctx ends. It lists again only when
+// the store has forgotten the revision.
+func (f *Feed) followStore(ctx context.Context, s source, rnd *rand.Rand) {
+	at := s.known()
 	failed := 0
 	lost := time.Time{}
+	defer func() {
+		if failed > 0 {
+			// Others may still reach the store; what they pass on counts.
+			s.away(false)
+		}
+	}()
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, s, at)
 		switch {
 		case ctx.Err() != nil:
-			return nil
+			return
 		case err == nil:
 			if failed > 0 {
 				s.away(false)
 				f.Event(effect.Event{Name: "store_regained", List: next, Detail: "kind=" + s.name() + " after=" + time.Since(lost).String()})
 			}
+			if at > 0 && next > at {
+				// Changes come in groups; one call fetches those of a group.
+				sleep(ctx, groupTime)
+			}
 			failed, at = 0, next
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
@@ -93,11 +125,8 @@
 			f.Event(effect.Event{Name: "store_lost", List: at, Detail: "kind=" + s.name() + " err=" + err.Error()})
 		}
 		f.Store.Forget()
-		if !sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd)) {
-			return nil
-		}
+		sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
 	}
-	return nil
 }
 
 // step makes one call: a list without a revision to watch from, else a watch.
--- a/io/feed/kinds.go
+++ b/io/feed/kinds.go
@@ -31,6 +31,11 @@
 	return at, nil
 }
 
+func (r *routes) known() uint64 {
+	routing, _ := r.f.Fleet.Revisions()
+	return routing
+}
+
 // away needs no action: routes stay in force while the store does not answer.
 func (*routes) away(bool) {}
 
@@ -59,6 +64,11 @@
 	return e.Revision, nil
 }
 
+func (i *instances) known() uint64 {
+	_, list := i.f.Fleet.Revisions()
+	return list
+}
+
 func (i *instances) away(away bool) { i.f.Push(&input.StoreChanged{Away: away}) }
 
 // report logs the entries that can't be read; they are not used.
--- /dev/null
+++ b/io/feed/peers.go
@@ -0,0 +1,109 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"egretdock/core/effect"
+	"egretdock/core/input"
+	"egretdock/core/limit"
+	"egretdock/core/model"
+	"egretdock/core/query"
+)
+
+const (
+	// newsWait is how long a peer waits for news before it confirms the old ones.
+	newsWait = time.Second
+	// newsSlack is the time for the answer on top of newsWait. A silent peer is
+	// noticed after both, which leaves half of the 3 s in which a configuration
+	// has to be in force for reading the store.
+	newsSlack = 400 * time.Millisecond
+	// newsAge is the age of the store's confirmation up to which a peer's news
+	// count as current: that of a reader whose connection to the store has just
+	// gone silent, and a round trip.
+	newsAge = WatchWait + answerSlack + 100*time.Millisecond
+	// roleEvery is the interval at which a reader looks whether it still is one.
+	roleEvery = 500 * time.Millisecond
+)
+
+// Peers asks other balancers for news.
+type Peers interface {
+	WaitNews(ctx context.Context, addr netip.AddrPort, routing, list uint64, wait time.Duration) (query.News, error)
+	Forget()
+}
+
+// Fleet is what the feed reads of its balancer.
+type Fleet interface {
+	// Reader returns the balancer that reads the store for this data centre.
+	// self is true when it is this one.
+	Reader() (b model.Balancer, self bool)
+	// Revisions returns those of the routes and of the list in force.
+	Revisions() (routing, list uint64)
+}
+
+// followPeers opens the gate to the store while this balancer is its data
+// centre's reader or the reader's news are not current.
+func (f *Feed) followPeers(ctx context.Context) error {
+	rnd := rand.New(rand.NewPCG(f.Seed, 0))
+	failed := 0
+	for ctx.Err() == nil {
+		reader, self := f.Fleet.Reader()
+		if self {
+			f.read(ctx, true, "role=reader")
+			failed = 0
+			sleep(ctx, roleEvery)
+			continue
+		}
+		news, err := f.news(ctx, reader)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
+			failed++
+			f.read(ctx, true, "reader="+reader.Name+" err="+err.Error())
+			f.Peers.Forget()
+			sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
+		case news.Away || max(news.RoutingAge, news.ListAge) > newsAge:
+			failed = 0
+			f.read(ctx, true, "reader="+reader.Name+" reason=news_not_current")
+			f.push(news)
+			sleep(ctx, roleEvery)
+		default:
+			failed = 0
+			f.push(news)
+			f.read(ctx, false, "reader="+reader.Name)
+		}
+	}
+	return nil
+}
+
+func (f *Feed) news(ctx context.Context, reader model.Balancer) (query.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, newsWait+newsSlack)
+	defer cancel()
+	routing, list := f.Fleet.Revisions()
+	return f.Peers.WaitNews(ctx, reader.Fetch, routing, list, newsWait)
+}
+
+// read opens or closes the gate and logs why.
+func (f *Feed) read(ctx context.Context, open bool, why string) {
+	if !f.gate.set(ctx, open) {
+		return
+	}
+	name := "store_reading_stopped"
+	if open {
+		name = "store_reading_started"
+	}
+	f.Event(effect.Event{Name: name, Detail: why})
+}
+
+// push passes a peer's news on.
+func (f *Feed) push(n query.News) {
+	f.Push(&input.Routed{Routing: n.Routing, Age: n.RoutingAge})
+	if n.Whole {
+		f.Push(&input.Listed{Revision: n.List, Entries: n.Entries, Age: n.ListAge})
+		return
+	}
+	f.Push(&input.ListChanged{Revision: n.List, Changes: n.Entries, Age: n.ListAge})
+}
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -28,13 +28,14 @@
 	"egretdock/io/dgram"
 	"egretdock/io/feed"
 	"egretdock/io/logs"
+	"egretdock/io/peers"
 	"egretdock/platform"
 )
 
 const (
-	// tickEvery is the interval of ticks. Openings that wait for an answer bring
-	// their own Wake.
-	tickEvery = 200 * time.Millisecond
+	// tickEvery is the interval of ticks: half of the gap that membership takes
+	// for a pause. Openings that wait for an answer bring their own Wake.
+	tickEvery = 100 * time.Millisecond
 	// queueLength bounds the control inputs that wait for their worker.
 	queueLength = 256
 	// memoryShare is the part of the host's memory limit at which the garbage
@@ -64,6 +65,8 @@
 	opts     Options
 	engine   engine.Engine
 	socket   *dgram.Socket
+	peers    *dgram.Socket
+	gossip   gossipSeals
 	queue    *worker.Queue
 	feed     feed.Feed
 	logger   *logs.Logger
@@ -93,18 +96,24 @@
 	a.logger = logs.NewLogger(logs.Options{Process: s.Name, DataCentre: s.DataCentre})
 	registry := metrics.NewRegistry()
 	a.stats = newStats(registry, a)
-	a.engine.Self = model.Balancer{Name: s.Name, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano())}
+	a.engine.Self = model.Balancer{
+		Name: s.Name, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
+		Peer: s.Peer, Fetch: s.Peer,
+	}
 	a.engine.Direct = engine.Direct{DataCentres: len(s.DataCentres), FlowLifetime: s.FlowLifetime}
 	var ctx context.Context
 	ctx, a.closeQueue = context.WithCancel(context.Background())
 	a.queue = worker.NewQueue(ctx, queueLength)
 	a.feed = feed.Feed{
-		Store: platform.NewStore(s.Store), Push: a.queue.Push, Event: a.event, Call: a.stats.call,
+		Store: platform.NewStore(s.Store), Peers: peers.NewClient(fleetKey(s), time.Now), Fleet: a, Push: a.queue.Push, Event: a.event, Call: a.stats.call,
 		Seed: a.engine.Self.Incarnation,
 	}
 	if a.socket, err = dgram.Listen(s.Packets); err != nil {
 		return nil, err
 	}
+	if err := a.joinPeers(); err != nil {
+		return nil, err
+	}
 	if err := a.serve(s.Probe, platform.NewReadyHandler(a.Ready)); err != nil {
 		return nil, err
 	}
@@ -168,10 +177,11 @@
 func (a *App) loop(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	pool := worker.Pool{Engine: &a.engine, Now: time.Now, Seed: a.engine.Self.Incarnation}
-	sources := []worker.Source{a.queue, dgram.NewFlows(a.socket, &a.counters)}
+	sources := []worker.Source{a.queue, dgram.NewFlows(a.socket, &a.counters), a.peerSource()}
 	g.Go(func() error { return pool.Run(ctx, sources, a.sink) })
 	g.Go(func() error { return a.tick(ctx) })
 	g.Go(func() error { return a.feed.Run(ctx) })
+	a.queue.Push(&input.Hosts{Balancers: seeds(a.settings)})
 	g.Go(func() error { return a.watchSettings(ctx) })
 	for i, s := range a.servers {
 		g.Go(func() error {
@@ -185,10 +195,10 @@
 		<-ctx.Done()
 		a.closeQueue()
 		for _, s := range a.servers {
-			// Probes and metrics are single answers, so nothing is lost.
+			// Probes, metrics and news are asked for again, so nothing is lost.
 			_ = s.Close()
 		}
-		return a.socket.Close()
+		return errors.Join(a.socket.Close(), a.peers.Close())
 	})
 	return g.Wait()
 }
@@ -208,7 +218,7 @@
 }
 
 func (a *App) sink() worker.Sink {
-	return a.stats.count(dgram.NewFlowSink(a.socket, &a.counters, a.other))
+	return a.stats.count(dgram.NewFlowSink(a.socket, a.peers, a.gossip.sealer, &a.counters, a.other))
 }
 
 // other carries out the effects that are not packets of flows.
@@ -220,7 +230,7 @@
 		}
 	case *effect.Wake:
 		time.AfterFunc(e.After, func() { a.queue.Push(&input.Wake{}) })
-	case *effect.ToUpstream, *effect.ToClient, *effect.ToPeer, *effect.Gossip, *effect.Poll, *effect.Fetch, *effect.Deliver, *effect.ResetFlow:
+	case *effect.Gossip, *effect.ToUpstream, *effect.ToClient, *effect.ToPeer, *effect.Poll, *effect.Fetch, *effect.Deliver, *effect.ResetFlow:
 		// Packets are sent by the sink; the rest belongs to the own protocol,
 		// for which this front end has no sockets.
 	}
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdock/core/effect"
+	"egretdock/core/input"
 )
 
 const (
@@ -22,6 +23,8 @@
 // leave turns unready and forwards until the routers have noticed.
 func (a *App) leave() {
 	a.leaving.Store(true)
+	// Peers are told first, so that another one reads the store by the exit.
+	a.queue.Push(&input.Leave{})
 	start := time.Now()
 	a.event(effect.Event{Name: "leaving", Detail: "grace=" + a.settings.Grace.String()})
 	t := time.NewTicker(leaveCheck)
