Tell overtaken packets from repeated ones

Packets of an upload overtake each other within milliseconds, which counted as repeats and made instances doubtful. A packet counts as a repeat only 150 ms after the last new data; clients repeat after 200 ms.

--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -41,6 +41,8 @@
 	// Seq and Ack are the highest positions seen from the client once the flow
 	// is open.
 	Seq, Ack uint32
+	// Advanced is when Seq last rose.
+	Advanced time.Time
 	// Long is true for a flow that counts in its instance's open flows.
 	Long bool
 	// Syn is a copy of the opening while State is TrackOpening.
@@ -79,14 +81,19 @@
 	return t
 }
 
+// repeatAfter tells a repeated packet from one that was overtaken on its way:
+// senders repeat after 200 ms, and the network reorders within milliseconds.
+const repeatAfter = 150 * time.Millisecond
+
 // WithSegment returns a copy that has seen a packet of the open flow, and
 // whether the packet repeats data seen before or acknowledges new data.
 func (t Track) WithSegment(now time.Time, s *packet.Segment) (next Track, repeated, progress bool) {
 	end := s.Seq + uint32(s.Data)
-	repeated = s.Data > 0 && t.Seq != 0 && int32(end-t.Seq) <= 0
 	progress = t.Ack != 0 && int32(s.Ack-t.Ack) > 0
 	if t.Seq == 0 || int32(end-t.Seq) > 0 {
-		t.Seq = end
+		t.Seq, t.Advanced = end, now
+	} else {
+		repeated = s.Data > 0 && now.Sub(t.Advanced) >= repeatAfter
 	}
 	if t.Ack == 0 || int32(s.Ack-t.Ack) > 0 {
 		t.Ack = s.Ack
