Start the count of a new instance at its data centre's mean

Cause: an instance that was just added had a count of zero, so each balancer gave it all its new flows until it had caught up, while it is still slow.

--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -109,8 +109,8 @@
 		byID:    make(map[uint64]*Backend, len(members)),
 		byToken: make(map[uint32][]*Backend, len(members)),
 	}
-	for id, m := range members {
-		b := next.add(d.byID[id], m)
+	for _, m := range members {
+		b := next.add(d, m)
 		g := next.groups[m.Instance.Service]
 		if g == nil {
 			g = &Group{}
@@ -121,19 +121,38 @@
 	return next
 }
 
-func (d *Direct) add(old *Backend, m roster.Member) *Backend {
-	b := &Backend{Member: m, Token: Token(m.Instance.ID)}
-	b.Key = xxhash.Sum64String(m.Instance.Name)
-	if old != nil && old.Instance.Born == m.Instance.Born {
+func (d *Direct) add(prev *Direct, m roster.Member) *Backend {
+	b := &Backend{Member: m, Token: Token(m.Instance.ID), Key: xxhash.Sum64String(m.Instance.Name)}
+	if old := prev.byID[m.Instance.ID]; old != nil && old.Instance.Born == m.Instance.Born {
 		b.State = old.State
 	} else {
+		// A count of zero would draw all new flows until it equals the others.
 		b.State = &Upstream{}
+		b.State.placed.Store(prev.Group(m.Instance.Service).meanPlaced(m.Instance.DataCentre))
 	}
 	d.byID[m.Instance.ID] = b
 	d.byToken[b.Token] = append(d.byToken[b.Token], b)
 	return b
 }
 
+// meanPlaced returns the mean of what the ready instances in a data centre were
+// given of late.
+func (g *Group) meanPlaced(dataCentre string) int32 {
+	sum, n := int32(0), int32(0)
+	for _, set := range [][]*Backend{g.Local, g.Remote} {
+		for _, b := range set {
+			if b.Instance.DataCentre == dataCentre {
+				sum += b.State.Placed()
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
 func (g *Group) add(b *Backend, local bool) {
 	switch b.Status {
 	case roster.StatusReady:
