Weigh instances by the latency of their answers; spill over by it

Each balancer now measures the time from a client's last data to the first acknowledgement of the answer. A slower instance gets fewer flows, and flows leave a data centre that is slower than the fastest instance known.

Ruled out: counts exchanged between balancers; latency is seen without messages.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -68,16 +68,16 @@
 // TrackSegment stores a packet of an open flow and what it says about the
 // instance: repeated data means that the instance has not answered,
 // acknowledged data that it has.
-func TrackSegment(h *locks.Holder, now time.Time, s *table.Set, seg *packet.Segment, t table.Track, b *table.Backend) (repeated bool) {
-	t, repeated, progress := t.WithSegment(now, seg)
+func TrackSegment(h *locks.Holder, now time.Time, s *table.Set, seg *packet.Segment, t table.Track, b *table.Backend) table.Seen {
+	t, seen := t.WithSegment(now, seg)
 	s.Tracks.Put(h, seg.Flow, t)
 	switch {
-	case progress:
-		b.State.Observe(h, now, health.Answered{Incarnation: b.Instance.ID})
-	case repeated:
+	case seen.Progress:
+		b.State.Observe(h, now, health.Answered{Incarnation: b.Instance.ID, Took: seen.Took})
+	case seen.Repeated:
 		b.State.Observe(h, now, health.Failed{Incarnation: b.Instance.ID})
 	}
-	return repeated
+	return seen
 }
 
 // Forget removes the track of a flow that has ended.
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -221,8 +221,8 @@
 		t = cmds.TrackOpened(&w.locks, now, &e.Tables, s.Flow, t, b, route.Idempotent)
 	}
 	e.send(w, s, b)
-	switch repeated := cmds.TrackSegment(&w.locks, now, &e.Tables, s, t, b); {
-	case repeated:
+	switch seen := cmds.TrackSegment(&w.locks, now, &e.Tables, s, t, b); {
+	case seen.Repeated:
 		e.decide(w, now, d, s, "packet_repeated", "unanswered", query.Choice{Backend: b})
 	case s.Request != nil:
 		e.decide(w, now, d, s, "request_carried", b.Status.String(), query.Choice{Backend: b})
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -133,7 +133,7 @@
 		assert(t, s, 2)
 	})
 	t.Run("invented by a report", func(t *testing.T) {
-		s, _ := after(s, now, times(50, Signal(Answered{2}), Report{Incarnation: 9, Healthy: true})...)
+		s, _ := after(s, now, times(50, Signal(Answered{Incarnation: 2}), Report{Incarnation: 9, Healthy: true})...)
 		assert(t, s, 2)
 	})
 }
--- a/core/health/query.go
+++ b/core/health/query.go
@@ -42,6 +42,11 @@
 	return s.failed.Add(min(doubtFirst<<min(n-1, 8), doubtMost))
 }
 
+// Latency returns the mean time of recent answers and until when it counts.
+func (s State) Latency() (mean time.Duration, until time.Time) {
+	return s.latency, s.answered.Add(latencyTime)
+}
+
 // Eligible reports whether the upstream may get new flows, when the other
 // upstreams of its service can take its part.
 func (s State) Eligible(now time.Time) bool { return !s.Draining() && !s.Ejected(now) }
--- a/core/health/signal.go
+++ b/core/health/signal.go
@@ -2,6 +2,8 @@
 // report and from what passing traffic shows. Its values are immutable.
 package health
 
+import "time"
+
 // Signal is one observation of an upstream.
 //
 //sumtype:decl
@@ -26,7 +28,11 @@
 type Accepted struct{ Incarnation uint64 }
 
 // Answered means that the upstream answered a request.
-type Answered struct{ Incarnation uint64 }
+type Answered struct {
+	Incarnation uint64
+	// Took is the time from the request to its answer, or 0 when unknown.
+	Took time.Duration
+}
 
 // Refused means that the upstream refused work.
 type Refused struct {
--- a/core/health/state.go
+++ b/core/health/state.go
@@ -29,6 +29,11 @@
 	// upstream after a failure of passing traffic; it doubles with each failure
 	// in a row. One lost packet costs doubtFirst at one balancer.
 	doubtFirst, doubtMost = time.Second, 8 * time.Second
+	// latencyWeight is the weight of the newest answer in the mean latency: the
+	// last ten answers make up nine tenths of it.
+	latencyWeight = 0.2
+	// latencyTime is how long the mean latency counts after the last answer.
+	latencyTime = 3 * time.Second
 	// formerKept is the number of replaced incarnations whose lagging reports
 	// are recognized.
 	formerKept = 4
@@ -54,6 +59,10 @@
 	opens, requests, sheds, reports int
 	// failed is the time of the last failure of passing traffic.
 	failed time.Time
+	// latency is the mean time of recent answers, and answered when the last of
+	// them came.
+	latency  time.Duration
+	answered time.Time
 	// ejected and until are the start and end of the last ejection in a row of
 	// ejections without a success between them.
 	ejected, until time.Time
@@ -75,7 +84,7 @@
 		}
 	case Answered:
 		if s, ok := s.withTraffic(now, sig.Incarnation); ok {
-			return s.withAnswer(now)
+			return s.withAnswer(now).withLatency(now, sig.Took)
 		}
 	case Refused:
 		if s, ok := s.withTraffic(now, sig.Incarnation); ok {
@@ -179,6 +188,19 @@
 	return s.withSuccess(now)
 }
 
+func (s State) withLatency(now time.Time, took time.Duration) State {
+	if took <= 0 {
+		return s
+	}
+	if now.Sub(s.answered) > latencyTime {
+		s.latency = took
+	} else {
+		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+	}
+	s.answered = now
+	return s
+}
+
 func (s State) withSuccess(now time.Time) State {
 	s.success = now
 	s.reports = 0
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -22,6 +22,9 @@
 	Shares []Share
 	// Idempotent is true when clients may repeat its requests.
 	Idempotent bool
+	// Bulk is true when its requests carry large bodies, which are costly to
+	// send to another data centre.
+	Bulk bool
 }
 
 // Serves reports whether the route may send flows to a service.
--- a/core/query/direct.go
+++ b/core/query/direct.go
@@ -103,10 +103,18 @@
 	Tier string
 }
 
-// localShare is the part of its fair share of slots that the own data centre
-// must have to take all of its clients' new flows. Below it, flows go to all
-// data centres in proportion.
-const localShare = 0.6
+const (
+	// localShare is the part of its fair share of slots that the own data centre
+	// must have to take all of its clients' new flows. Below it, flows go to all
+	// data centres in proportion.
+	localShare = 0.6
+	// spillFrom is the ratio of the own data centre's latency to the lowest known
+	// one of the service from which new flows go to other data centres. Bulky
+	// requests stay longer, since their transfer is costly.
+	spillFrom, spillBulkFrom = 1.4, 3.0
+	// maxSlower bounds how much less an instance gets because it is slow.
+	maxSlower = 8.0
+)
 
 // Place chooses the instance of a new flow. tried holds the instances that have
 // not answered its opening; they are chosen last.
@@ -114,7 +122,8 @@
 	hash := FlowHash(f)
 	g := d.Group(route.Service(hash))
 	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
-	if servesLocally(g, dataCentres, rank.Mix(hash)) {
+	p.base = lowest(g, now)
+	if p.servesLocally(g, dataCentres, route.Bulk, rank.Mix(hash)) {
 		if c := p.choose("local", true, g.Local); c.Backend != nil {
 			return c
 		}
@@ -133,14 +142,54 @@
 }
 
 // servesLocally reports whether a flow stays in its own data centre; draw is
-// uniform.
-func servesLocally(g *table.Group, dataCentres int, draw uint64) bool {
-	need := localShare * float64(g.Slots) / float64(max(1, dataCentres))
-	if float64(g.LocalSlots) >= need {
-		return g.LocalSlots > 0
+// uniform. The farther the own instances are behind the fastest, the more flows
+// go elsewhere.
+func (p *placement) servesLocally(g *table.Group, dataCentres int, bulk bool, draw uint64) bool {
+	if g.LocalSlots == 0 {
+		return false
+	}
+	stay := 1.0
+	from := spillBulkFrom
+	if !bulk {
+		from = spillFrom
+		if need := localShare * float64(g.Slots) / float64(max(1, dataCentres)); float64(g.LocalSlots) < need {
+			stay = float64(g.LocalSlots) / need
+		}
+	}
+	if own := p.mean(g.Local); p.base > 0 && own > 0 {
+		stay = min(stay, from*float64(p.base)/float64(own))
 	}
 	const parts = 1 << 16
-	return float64(draw%parts) < parts*float64(g.LocalSlots)/need
+	return float64(draw%parts) < parts*stay
+}
+
+// lowest returns the lowest known latency of a service, or 0.
+func lowest(g *table.Group, now time.Time) time.Duration {
+	var low time.Duration
+	for _, set := range [][]*table.Backend{g.Local, g.Remote} {
+		for _, b := range set {
+			if l := b.State.Latency(now); l > 0 && (low == 0 || l < low) {
+				low = l
+			}
+		}
+	}
+	return low
+}
+
+// mean returns the mean of the known latencies, or 0.
+func (p *placement) mean(set []*table.Backend) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, b := range set {
+		if l := b.State.Latency(p.now); l > 0 {
+			sum += l
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
 }
 
 type placement struct {
@@ -148,6 +197,8 @@
 	hash  uint64
 	long  bool
 	tried *table.Track
+	// base is the lowest known latency of the service, or 0.
+	base time.Duration
 }
 
 // choose returns the instance with the least load for its slots; among equals
@@ -171,19 +222,23 @@
 }
 
 // warmupPenalty counts the flows of an instance in its slow start this many
-// times.
+// times while its latency is not known.
 const warmupPenalty = 2
 
-// load is the number of flows per 100 slots. Long flows are spread by those
-// open now, others by those placed of late.
+// load is the number of flows per 100 slots, weighted by how slow the instance
+// answers. Long flows are spread by those open now, others by those placed of
+// late.
 func (p *placement) load(b *table.Backend) int {
 	n := int(b.State.Placed())
 	if p.long {
 		n = int(b.State.Open())
 	}
 	n = (n + 1) * 100 / b.Instance.Slots
-	if p.now.Sub(b.Since) < b.Instance.WarmupLeft {
-		n *= warmupPenalty
+	switch l := b.State.Latency(p.now); {
+	case l > 0 && p.base > 0:
+		return int(float64(n) * min(float64(l)/float64(p.base), maxSlower))
+	case p.now.Sub(b.Since) < b.Instance.WarmupLeft:
+		return n * warmupPenalty
 	}
 	return n
 }
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -43,6 +43,9 @@
 	Seq, Ack uint32
 	// Advanced is when Seq last rose.
 	Advanced time.Time
+	// Asked is when the client last sent new data that is not answered; zero when
+	// all is answered.
+	Asked time.Time
 	// Long is true for a flow that counts in its instance's open flows.
 	Long bool
 	// Syn is a copy of the opening while State is TrackOpening.
@@ -85,15 +88,34 @@
 // senders repeat after 200 ms, and the network reorders within milliseconds.
 const repeatAfter = 150 * time.Millisecond
 
-// WithSegment returns a copy that has seen a packet of the open flow, and
-// whether the packet repeats data seen before or acknowledges new data.
-func (t Track) WithSegment(now time.Time, s *packet.Segment) (next Track, repeated, progress bool) {
+// Seen is what a packet shows of its flow's instance.
+type Seen struct {
+	// Repeated is true when the packet repeats data seen before.
+	Repeated bool
+	// Progress is true when it acknowledges new data of the instance.
+	Progress bool
+	// Took is the time from the client's last data to the first acknowledgement
+	// of the answer, or 0 in other packets.
+	Took time.Duration
+}
+
+// WithSegment returns a copy that has seen a packet of the open flow, and what
+// the packet shows.
+func (t Track) WithSegment(now time.Time, s *packet.Segment) (Track, Seen) {
+	var seen Seen
 	end := s.Seq + uint32(s.Data)
-	progress = t.Ack != 0 && int32(s.Ack-t.Ack) > 0
+	seen.Progress = t.Ack != 0 && int32(s.Ack-t.Ack) > 0
+	if seen.Progress && !t.Asked.IsZero() {
+		seen.Took = now.Sub(t.Asked)
+		t.Asked = time.Time{}
+	}
 	if t.Seq == 0 || int32(end-t.Seq) > 0 {
 		t.Seq, t.Advanced = end, now
+		if s.Data > 0 {
+			t.Asked = now
+		}
 	} else {
-		repeated = s.Data > 0 && now.Sub(t.Advanced) >= repeatAfter
+		seen.Repeated = s.Data > 0 && now.Sub(t.Advanced) >= repeatAfter
 	}
 	if t.Ack == 0 || int32(s.Ack-t.Ack) > 0 {
 		t.Ack = s.Ack
@@ -102,7 +124,7 @@
 	if s.Kind == packet.SegmentFin {
 		t.State = TrackClosing
 	}
-	return t, repeated, progress
+	return t, seen
 }
 
 const (
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -27,6 +27,9 @@
 	// doubtUntil mirrors Health for readers without the lock, in nanoseconds of
 	// the process's steady clock.
 	doubtUntil atomic.Int64
+	// latency and latencyUntil mirror Health in nanoseconds; the second is on the
+	// steady clock.
+	latency, latencyUntil atomic.Int64
 
 	// Admit is the admission state of the current incarnation.
 	Admit admit.Upstream
@@ -56,6 +59,18 @@
 	defer u.Unlock(h)
 	u.Health = u.Health.With(now, sig)
 	u.doubtUntil.Store(int64(u.Health.DoubtUntil().Sub(steadyStart)))
+	mean, until := u.Health.Latency()
+	u.latency.Store(int64(mean))
+	u.latencyUntil.Store(int64(until.Sub(steadyStart)))
+}
+
+// Latency returns the mean time of the instance's recent answers, or 0 when
+// there were none.
+func (u *Upstream) Latency(now time.Time) time.Duration {
+	if int64(now.Sub(steadyStart)) > u.latencyUntil.Load() {
+		return 0
+	}
+	return time.Duration(u.latency.Load())
 }
 
 // Doubtful reports whether the instance left openings or requests unanswered of
--- a/io/peers/news.go
+++ b/io/peers/news.go
@@ -73,7 +73,7 @@
 		}
 		for _, r := range n.Routing.Routes() {
 			ip, port := splitAddr(r.Address)
-			one := &peerpb.Route{Name: r.Name, Ip: ip, Port: port, Idempotent: r.Idempotent}
+			one := &peerpb.Route{Name: r.Name, Ip: ip, Port: port, Idempotent: r.Idempotent, Bulk: r.Bulk}
 			for _, s := range r.Shares {
 				one.Shares = append(one.Shares, &peerpb.Share{Service: s.Service, Weight: uint32(s.Weight)})
 			}
@@ -107,7 +107,7 @@
 	if r := m.GetRouting(); r != nil {
 		routes := make([]model.Route, 0, len(r.GetRoutes()))
 		for _, one := range r.GetRoutes() {
-			route := model.Route{Name: one.GetName(), Address: joinAddr(one.GetIp(), one.GetPort()), Idempotent: one.GetIdempotent()}
+			route := model.Route{Name: one.GetName(), Address: joinAddr(one.GetIp(), one.GetPort()), Idempotent: one.GetIdempotent(), Bulk: one.GetBulk()}
 			for _, s := range one.GetShares() {
 				route.Shares = append(route.Shares, model.Share{Service: s.GetService(), Weight: int(s.GetWeight())})
 			}
