Let requests in progress decide what leaves the data centre

The time taken by this balancer's requests, times the balancers of the data centre, gives the requests in progress for each slot without a reference.

--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -176,7 +176,8 @@
 
 // place sends an opening to the best instance that it was not sent to before.
 func (e *Engine) place(w *Work, now time.Time, d *table.Direct, route model.Route, s *packet.Segment, t table.Track, event string) {
-	c := query.Place(d, route, s.Flow, &t, e.Direct.DataCentres, now)
+	site := query.SiteOf(e.Tables.Members(), e.Self.DataCentre, e.Direct.DataCentres)
+	c := query.Place(d, route, s.Flow, &t, site, now)
 	if c.Backend == nil {
 		e.decide(w, now, d, s, "packet_dropped", "no_instance", c)
 		return
--- a/core/query/direct.go
+++ b/core/query/direct.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"egretdock/core/member"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/rank"
@@ -108,22 +109,47 @@
 	// must have to take all of its clients' new flows. Below it, flows go to all
 	// data centres in proportion.
 	localShare = 0.6
-	// spillFrom is the ratio of the own data centre's latency to the lowest known
-	// one of the service from which new flows go to other data centres. Bulky
-	// requests stay longer, since their transfer is costly.
-	spillFrom, spillBulkFrom = 1.4, 3.0
+	// spillFrom is the number of requests in progress for each slot of the own
+	// data centre from which new flows go to other data centres: two slots that
+	// are 60% busy have 0.9 each, queued ones included. Bulky requests stay
+	// longer, since their transfer is costly.
+	spillFrom, spillBulkFrom = 0.9, 4.0
+	// spillBack is the part of the flows that would go elsewhere that do while
+	// the instances there are known to be no faster.
+	spillBack = 0.2
 	// maxSlower bounds how much less an instance gets because it is slow.
 	maxSlower = 8.0
 )
 
+// Site is what a placement needs to know of the fleet.
+type Site struct {
+	// DataCentres is the number of data centres with clients.
+	DataCentres int
+	// Balancers is the number of live balancers in the own data centre, over
+	// which its clients' packets are spread evenly; this one included.
+	Balancers int
+}
+
+// SiteOf returns the site of a balancer in a data centre.
+func SiteOf(v member.View, dataCentre string, dataCentres int) Site {
+	s := Site{DataCentres: max(1, dataCentres)}
+	for _, b := range v.Balancers() {
+		if b.DataCentre == dataCentre && b.Fetch.IsValid() {
+			s.Balancers++
+		}
+	}
+	s.Balancers = max(1, s.Balancers)
+	return s
+}
+
 // Place chooses the instance of a new flow. tried holds the instances that have
 // not answered its opening; they are chosen last.
-func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, dataCentres int, now time.Time) Choice {
+func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, site Site, now time.Time) Choice {
 	hash := FlowHash(f)
 	g := d.Group(route.Service(hash))
 	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
 	p.base = lowest(g, now)
-	if p.servesLocally(g, dataCentres, route.Bulk, rank.Mix(hash)) {
+	if p.servesLocally(g, site, route.Bulk, rank.Mix(hash)) {
 		if c := p.choose("local", true, g.Local); c.Backend != nil {
 			return c
 		}
@@ -142,27 +168,39 @@
 }
 
 // servesLocally reports whether a flow stays in its own data centre; draw is
-// uniform. The farther the own instances are behind the fastest, the more flows
-// go elsewhere.
-func (p *placement) servesLocally(g *table.Group, dataCentres int, bulk bool, draw uint64) bool {
+// uniform. The busier the own instances are, the more flows go elsewhere.
+func (p *placement) servesLocally(g *table.Group, site Site, bulk bool, draw uint64) bool {
 	if g.LocalSlots == 0 {
 		return false
 	}
-	stay := 1.0
-	from := spillBulkFrom
+	stay, from := 1.0, spillBulkFrom
 	if !bulk {
 		from = spillFrom
-		if need := localShare * float64(g.Slots) / float64(max(1, dataCentres)); float64(g.LocalSlots) < need {
+		if need := localShare * float64(g.Slots) / float64(site.DataCentres); float64(g.LocalSlots) < need {
 			stay = float64(g.LocalSlots) / need
 		}
 	}
-	if own := p.mean(g.Local); p.base > 0 && own > 0 {
-		stay = min(stay, from*float64(p.base)/float64(own))
+	if busy := p.busy(g, site); busy > from {
+		spill := 1 - from/busy
+		if own, other := p.mean(g.Local), p.mean(g.Remote); other > 0 && other >= own {
+			spill *= spillBack
+		}
+		stay = min(stay, 1-spill)
 	}
 	const parts = 1 << 16
 	return float64(draw%parts) < parts*stay
 }
 
+// busy estimates the requests in progress for each slot of the own data centre
+// from those of this balancer.
+func (p *placement) busy(g *table.Group, site Site) float64 {
+	sum := 0.0
+	for _, b := range g.Local {
+		sum += b.State.Concurrency(p.now)
+	}
+	return sum * float64(site.Balancers) / float64(g.LocalSlots)
+}
+
 // lowest returns the lowest known latency of a service, or 0.
 func lowest(g *table.Group, now time.Time) time.Duration {
 	var low time.Duration
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,10 @@
 	// latency and latencyUntil mirror Health in nanoseconds; the second is on the
 	// steady clock.
 	latency, latencyUntil atomic.Int64
+	// taken is the time that this balancer's requests of late have taken, in
+	// nanoseconds, each halved per takenHalf since then; takenAt is when it was
+	// brought up to date, on the steady clock.
+	taken, takenAt atomic.Int64
 
 	// Admit is the admission state of the current incarnation.
 	Admit admit.Upstream
@@ -59,11 +64,31 @@
 	defer u.Unlock(h)
 	u.Health = u.Health.With(now, sig)
 	u.doubtUntil.Store(int64(u.Health.DoubtUntil().Sub(steadyStart)))
+	if a, ok := sig.(health.Answered); ok {
+		u.taken.Store(int64(u.timeTaken(now)) + int64(a.Took))
+		u.takenAt.Store(int64(now.Sub(steadyStart)))
+	}
 	mean, until := u.Health.Latency()
 	u.latency.Store(int64(mean))
 	u.latencyUntil.Store(int64(until.Sub(steadyStart)))
 }
 
+// takenHalf is the time in which the weight of an answered request halves: long
+// enough for some ten requests of one data centre's balancer, short enough to
+// follow a burst.
+const takenHalf = 1500 * time.Millisecond
+
+func (u *Upstream) timeTaken(now time.Time) time.Duration {
+	age := float64(int64(now.Sub(steadyStart)) - u.takenAt.Load())
+	return time.Duration(float64(u.taken.Load()) * math.Exp2(-age/float64(takenHalf)))
+}
+
+// Concurrency returns the mean number of this balancer's requests that were in
+// progress at the instance of late: time taken per time passed.
+func (u *Upstream) Concurrency(now time.Time) float64 {
+	return float64(u.timeTaken(now)) * math.Ln2 / float64(takenHalf)
+}
+
 // Latency returns the mean time of the instance's recent answers, or 0 when
 // there were none.
 func (u *Upstream) Latency(now time.Time) time.Duration {
