--- /dev/null
+++ b/core/query/direct_test.go
@@ -0,0 +1,218 @@
+package query
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"egretdock/core/health"
+	"egretdock/core/locks"
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/roster"
+	"egretdock/core/table"
+)
+
+var (
+	placeStart = time.Now()
+	feeds      = model.Route{Shares: []model.Share{{Service: "desk", Weight: 1}}, Idempotent: true}
+	orders     = model.Route{Shares: []model.Share{{Service: "desk", Weight: 1}}}
+)
+
+// view returns the view from data centre "ain" of instances numbered from 1,
+// one for each data centre named.
+func view(dataCentres ...string) *table.Direct {
+	var list []model.InstanceChange
+	for i, dc := range dataCentres {
+		list = append(list, model.InstanceChange{Instance: model.Instance{
+			ID: uint64(i + 1), Name: fmt.Sprintf("i-%d", i+1), Service: "desk", DataCentre: dc, Slots: 2,
+			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 8080),
+		}})
+	}
+	return (&table.Direct{}).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), "ain")
+}
+
+func flowID(i int) packet.FlowID {
+	return packet.FlowID{
+		Client:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, byte(i >> 8)}), uint16(1024+i)),
+		Address: netip.MustParseAddrPort("198.18.0.1:80"),
+	}
+}
+
+// place places n flows, counts each where it was placed, and returns the share
+// of each data centre.
+func place(t *testing.T, d *table.Direct, route model.Route, site Site, now time.Time, n int) map[string]float64 {
+	t.Helper()
+	count := make(map[string]int)
+	for i := range n {
+		c := Place(d, route, flowID(i), &table.Track{}, site, now)
+		if c.Backend == nil {
+			t.Fatalf("flow %d has no instance", i)
+		}
+		c.Backend.State.CountPlaced()
+		if route.Idempotent {
+			c.Backend.State.CountOpen(1)
+		}
+		count[c.Backend.Instance.DataCentre]++
+	}
+	out := make(map[string]float64, len(count))
+	for dc, k := range count {
+		out[dc] = float64(k) / float64(n)
+	}
+	return out
+}
+
+// answers lets an instance answer a request every interval for ten seconds.
+func answers(d *table.Direct, id uint64, took, interval time.Duration) time.Time {
+	var h locks.Holder
+	b, _ := d.Backend(id)
+	now := placeStart
+	for now.Sub(placeStart) < 10*time.Second {
+		now = now.Add(interval)
+		b.State.Observe(&h, now, health.Answered{Incarnation: id, Took: took})
+	}
+	return now
+}
+
+func shareIs(t *testing.T, got map[string]float64, dataCentre string, low, high float64) {
+	t.Helper()
+	if s := got[dataCentre]; s < low || s > high {
+		t.Errorf("share of %s is %.2f, want %.2f to %.2f", dataCentre, s, low, high)
+	}
+}
+
+// Guards against transfer between data centres without need.
+func TestOwnDataCentreComesFirst(t *testing.T) {
+	d := view("ain", "ain", "sidi", "sidi")
+	for name, r := range map[string]model.Route{"feeds": feeds, "orders": orders} {
+		t.Run(name, func(t *testing.T) {
+			shareIs(t, place(t, d, r, Site{DataCentres: 2, Balancers: 1}, placeStart, 200), "ain", 1, 1)
+		})
+	}
+}
+
+// Guards against a data centre with few instances that gets all flows of its
+// clients.
+func TestSmallDataCentreShares(t *testing.T) {
+	d := view("ain", "sidi", "sidi", "sidi", "sidi", "sidi", "sidi", "sidi")
+	shareIs(t, place(t, d, orders, Site{DataCentres: 2, Balancers: 1}, placeStart, 400), "ain", 0.2, 0.6)
+	t.Run("none", func(t *testing.T) {
+		shareIs(t, place(t, view("sidi"), orders, Site{DataCentres: 2, Balancers: 1}, placeStart, 20), "sidi", 1, 1)
+	})
+}
+
+// Guards against an overloaded data centre beside idle ones: 1.8 of 2 slots are
+// busy by this and the other balancer's requests.
+func TestBusyDataCentreSpillsOver(t *testing.T) {
+	d := view("ain", "sidi")
+	now := answers(d, 1, 180*time.Millisecond, 100*time.Millisecond)
+	site := Site{DataCentres: 2, Balancers: 2}
+	shareIs(t, place(t, d, orders, site, now, 400), "ain", 0.4, 0.6)
+	t.Run("not when the others are slower", func(t *testing.T) {
+		answers(d, 2, time.Second, 100*time.Millisecond)
+		shareIs(t, place(t, d, orders, site, now, 400), "ain", 0.85, 1)
+	})
+	t.Run("not bulky requests", func(t *testing.T) {
+		bulk := orders
+		bulk.Bulk = true
+		shareIs(t, place(t, d, bulk, site, now, 100), "ain", 1, 1)
+	})
+}
+
+// Guards against uneven flows: the busiest instance may have at most 1.10 times
+// the mean.
+func TestFlowsAreEven(t *testing.T) {
+	for name, r := range map[string]model.Route{"feeds": feeds, "orders": orders} {
+		t.Run(name, func(t *testing.T) {
+			d := view("ain", "ain", "ain", "ain")
+			place(t, d, r, Site{DataCentres: 1, Balancers: 1}, placeStart, 100)
+			for _, b := range d.Backends() {
+				if n := b.State.Placed(); n != 25 {
+					t.Errorf("instance %d has %d flows of 100, want 25", b.Instance.ID, n)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a slow instance that gets as many flows as a fast one.
+func TestSlowInstanceGetsFewerFlows(t *testing.T) {
+	d := view("ain", "ain")
+	answers(d, 1, 100*time.Millisecond, 200*time.Millisecond)
+	now := answers(d, 2, 25*time.Millisecond, 200*time.Millisecond)
+	place(t, d, orders, Site{DataCentres: 1, Balancers: 1}, now, 100)
+	slow, _ := d.Backend(1)
+	if n := slow.State.Placed(); n < 15 || n > 25 {
+		t.Errorf("an instance that takes four times as long has %d flows of 100, want about 20", n)
+	}
+}
+
+// Guards against a new instance that gets every flow until it has caught up.
+func TestNewInstanceStartsAtMean(t *testing.T) {
+	d := view("ain", "ain")
+	place(t, d, orders, Site{DataCentres: 1, Balancers: 1}, placeStart, 100)
+	added := model.InstanceChange{Instance: model.Instance{ID: 9, Name: "i-9", Service: "desk", DataCentre: "ain", Slots: 2, Endpoint: netip.MustParseAddrPort("10.0.0.9:8080")}}
+	d = d.WithRoster(d.Roster.WithChanges(placeStart, []model.InstanceChange{added}, 2), "ain")
+	b, _ := d.Backend(9)
+	if n := b.State.Placed(); n != 50 {
+		t.Errorf("a new instance starts with %d placed flows, want the mean of 50", n)
+	}
+}
+
+// Guards against two instances whose tokens are equal: a packet must not reach
+// the one that does not hold its flow.
+func TestAmbiguousToken(t *testing.T) {
+	first, second := collision()
+	list := []model.InstanceChange{}
+	for i, id := range []uint64{first, second} {
+		list = append(list, model.InstanceChange{Instance: model.Instance{
+			ID: id, Name: fmt.Sprint(id), Service: "desk", Slots: 2, Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		}})
+	}
+	address := flowID(0).Address
+	routing := model.Routing{Revision: 1}.WithRoutes([]model.Route{{Address: address, Shares: orders.Shares}})
+	d := (&table.Direct{}).WithRouting(routing).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), "ain")
+	s := &packet.Segment{Flow: flowID(0), Token: table.Token(first)}
+	if got, ok := Resolve(d, s, table.Track{}, false).(TargetUnknown); !ok || got.Reason != "token_ambiguous" {
+		t.Errorf("an ambiguous token resolves to %+v", got)
+	}
+	t.Run("known from the flow's opening", func(t *testing.T) {
+		got, ok := Resolve(d, s, table.Track{}.WithOpen(second), true).(TargetBackend)
+		if !ok || got.Backend.Instance.ID != second {
+			t.Errorf("resolves to %+v, want instance %d", got, second)
+		}
+	})
+}
+
+// collision returns two IDs with the same token.
+func collision() (uint64, uint64) {
+	seen := make(map[uint32]uint64)
+	for id := uint64(1); ; id++ {
+		if other, ok := seen[table.Token(id)]; ok {
+			return other, id
+		}
+		seen[table.Token(id)] = id
+	}
+}
+
+// Guards against two readers of one data centre while the members agree, and
+// against none.
+func TestReader(t *testing.T) {
+	at := netip.MustParseAddrPort("10.0.0.1:7000")
+	v := member.NewView([]model.Balancer{
+		{Name: "b1", DataCentre: "ain", Fetch: at}, {Name: "b2", DataCentre: "ain", Fetch: at},
+		{Name: "b3", DataCentre: "sidi", Fetch: at}, {Name: "seed", DataCentre: "sidi"},
+	})
+	got, ok := Reader(v, "sidi")
+	if !ok || got.Name != "b3" {
+		t.Errorf("reader of sidi is %q, want b3", got.Name)
+	}
+	if got, _ := Reader(v, "ain"); got.DataCentre != "ain" {
+		t.Errorf("reader of ain is %q", got.Name)
+	}
+	if _, ok := Reader(v, "nowhere"); ok {
+		t.Error("a data centre without balancers has a reader")
+	}
+}
--- /dev/null
+++ b/io/feed/feed_test.go
@@ -0,0 +1,229 @@
+package feed
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretdock/core/effect"
+	"egretdock/core/input"
+	"egretdock/core/model"
+	"egretdock/core/query"
+	"egretdock/io/emul/objs"
+	"egretdock/platform"
+)
+
+// bench is a feed with a stand-in store and a stand-in reader.
+type bench struct {
+	t      *testing.T
+	store  *objs.Store
+	inputs chan input.Input
+	events chan effect.Event
+
+	mu     sync.Mutex
+	reader model.Balancer
+	self   bool
+	// answer is what the reader says; nil means that it does not answer.
+	answer  *query.News
+	routing uint64
+	list    uint64
+}
+
+func newBench(t *testing.T, self bool) *bench {
+	t.Helper()
+	b := &bench{
+		t: t, store: &objs.Store{}, self: self, reader: model.Balancer{Name: "reader"},
+		inputs: make(chan input.Input, 1000), events: make(chan effect.Event, 1000),
+	}
+	srv := httptest.NewServer(b.store)
+	f := &Feed{
+		Store: platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))),
+		Peers: b, Fleet: b,
+		Push:  func(in input.Input) { b.inputs <- in },
+		Event: func(e effect.Event) { b.events <- e },
+		Call:  func(time.Duration, bool) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := f.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return b
+}
+
+func (b *bench) Reader() (model.Balancer, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reader, b.self
+}
+
+func (b *bench) Revisions() (routing, list uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.routing, b.list
+}
+
+func (b *bench) Forget() {}
+
+func (b *bench) WaitNews(ctx context.Context, _ netip.AddrPort, _, _ uint64, _ time.Duration) (query.News, error) {
+	b.mu.Lock()
+	answer := b.answer
+	b.mu.Unlock()
+	if answer == nil {
+		<-ctx.Done()
+		return query.News{}, errors.New("no answer")
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(10 * time.Millisecond):
+	}
+	return *answer, nil
+}
+
+func (b *bench) answers(n *query.News) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answer = n
+}
+
+// waitFor waits for an input that fn accepts.
+func waitFor[T input.Input](b *bench, what string, fn func(T) bool) {
+	b.t.Helper()
+	limit := time.After(20 * time.Second)
+	for {
+		select {
+		case in := <-b.inputs:
+			if one, ok := in.(T); ok && fn(one) {
+				return
+			}
+		case <-limit:
+			b.t.Fatalf("no input: %s", what)
+		}
+	}
+}
+
+func (b *bench) waitEvent(name string) {
+	b.t.Helper()
+	limit := time.After(20 * time.Second)
+	for {
+		select {
+		case e := <-b.events:
+			if e.Name == name {
+				return
+			}
+		case <-limit:
+			b.t.Fatalf("no event %s", name)
+		}
+	}
+}
+
+func (b *bench) put(id, state string) uint64 {
+	return b.store.Put("servers", id, map[string]any{
+		"service": "desk", "address": "10.0.0.1:80", "zone": "ain", "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": 1,
+	})
+}
+
+func (b *bench) configure(version uint64) uint64 {
+	return b.store.Put("config", "main", map[string]any{"version": version})
+}
+
+func listedAt(n uint64) func(*input.Listed) bool {
+	return func(in *input.Listed) bool { return in.Revision >= n }
+}
+
+func versionIs(n uint64) func(*input.Routed) bool {
+	return func(in *input.Routed) bool { return in.Routing.Version == n }
+}
+
+func TestReaderFollowsStore(t *testing.T) {
+	b := newBench(t, true)
+	waitFor(b, "the empty list", listedAt(1))
+	at := b.put("i-1", "ready")
+	b.configure(7)
+	waitFor(b, "the change", func(in *input.ListChanged) bool { return in.Revision >= at && len(in.Changes) == 1 })
+	b = newBench(t, true)
+	b.configure(8)
+	waitFor(b, "the routes", versionIs(8))
+}
+
+// Guards against changes that are missed once the store has dropped its history.
+func TestHistoryGone(t *testing.T) {
+	b := newBench(t, true)
+	waitFor(b, "the empty list", listedAt(1))
+	b.store.Break(objs.FaultBusy)
+	b.waitEvent("store_lost")
+	at := b.put("i-1", "ready")
+	b.store.Compact()
+	b.store.Break(objs.FaultNone)
+	waitFor(b, "a new list", listedAt(at))
+	b.waitEvent("store_regained")
+}
+
+// Guards against an old configuration that stays in force behind a connection
+// that has gone silent: it must be noticed within the 3 s of the bound.
+func TestSilentStore(t *testing.T) {
+	b := newBench(t, true)
+	b.configure(7)
+	waitFor(b, "the routes", versionIs(7))
+	b.store.Break(objs.FaultSilent)
+	b.configure(8)
+	b.store.Break(objs.FaultNone)
+	waitFor(b, "the routes after the silence", versionIs(8))
+	if WatchWait+answerSlack >= 3*time.Second {
+		t.Errorf("silence is noticed after %v, which exceeds the bound for configuration", WatchWait+answerSlack)
+	}
+}
+
+// Guards against instances that are taken for gone while the store is away.
+func TestStoreAwayIsReported(t *testing.T) {
+	b := newBench(t, true)
+	waitFor(b, "the empty list", listedAt(1))
+	b.store.Break(objs.FaultReset)
+	waitFor(b, "the loss", func(in *input.StoreChanged) bool { return in.Away })
+	b.store.Break(objs.FaultNone)
+	waitFor(b, "the return", func(in *input.StoreChanged) bool { return !in.Away })
+}
+
+// Guards against calls that grow with the number of balancers, and against a
+// balancer that trusts a reader that has gone silent or lags behind.
+func TestFollowerReadsOnlyWhenItMust(t *testing.T) {
+	b := newBench(t, false)
+	b.answers(&query.News{Routing: model.Routing{Revision: 5, Version: 3}, List: 9})
+	waitFor(b, "the reader's routes", versionIs(3))
+	if n := b.store.Calls(); n != 0 {
+		t.Errorf("%d calls of the store while the reader's news are current, want none", n)
+	}
+	for _, c := range []struct {
+		name   string
+		answer *query.News
+	}{
+		{"silent reader", nil},
+		{"reader without the store", &query.News{Away: true}},
+		{"reader with old news", &query.News{ListAge: newsAge + time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b.answers(c.answer)
+			b.waitEvent("store_reading_started")
+			version := uint64(100 + b.store.Calls())
+			b.configure(version)
+			waitFor(b, "the store's routes", versionIs(version))
+			b.answers(&query.News{})
+			b.waitEvent("store_reading_stopped")
+		})
+	}
+}
--- /dev/null
+++ b/io/logs/async_test.go
@@ -0,0 +1,67 @@
+package logs
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Guards against a process that stops serving because nobody reads its log, and
+// against lines that vanish without being counted.
+func TestAsyncNeverBlocks(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	a := NewAsync(out)
+	line := bytes.Repeat([]byte("x"), 1023)
+	line = append(line, '\n')
+	const lines = 4 * asyncBytes / 1024
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range lines {
+			if _, err := a.Write(line); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a write waits for the reader")
+	}
+	close(out.release)
+	a.Close(10 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	written := uint64(out.got.Len() / len(line))
+	if a.Dropped() == 0 || written+a.Dropped() != lines {
+		t.Errorf("%d lines written and %d counted as dropped, want %d in all and some dropped", written, a.Dropped(), lines)
+	}
+}
+
+// Guards against the loss of the last lines before the exit.
+func TestAsyncCloseWrites(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	if _, err := a.Write([]byte("last\n")); err != nil {
+		t.Fatal(err)
+	}
+	a.Close(10 * time.Second)
+	if out.String() != "last\n" {
+		t.Errorf("written %q", out.String())
+	}
+}
