--- /dev/null
+++ b/io/emul/opaq/client.go
@@ -0,0 +1,185 @@
+package opaq
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"egretdock/core/packet"
+	"egretdock/platform"
+)
+
+// Errors of flows.
+var (
+	// ErrReset means that the flow was reset.
+	ErrReset = errors.New("flow was reset")
+	// ErrSilent means that no answer came within the limit.
+	ErrSilent = errors.New("no answer")
+)
+
+// openCopies are the times at which the copies of an opening are sent, and the
+// end of the attempt.
+var openCopies = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
+
+// repeatFirst is the wait before a payload is repeated; it doubles each time.
+const repeatFirst = 200 * time.Millisecond
+
+// Client is one client address with any number of flows. It must be made by
+// NewClient.
+type Client struct {
+	conn *net.UDPConn
+	// route returns the balancer that the network picks for a packet, or an
+	// invalid address when there is none.
+	route func(packet.FlowID) netip.AddrPort
+
+	mu    sync.Mutex
+	port  uint16
+	flows map[packet.FlowID]*Flow
+}
+
+// NewClient binds a client at the address and port that packets for clients are
+// sent to.
+func NewClient(at netip.AddrPort, route func(packet.FlowID) netip.AddrPort) (*Client, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errors.Wrap(err, "stand-in client")
+	}
+	c := &Client{conn: conn, route: route, port: 1024, flows: make(map[packet.FlowID]*Flow)}
+	go c.run()
+	return c, nil
+}
+
+// Close ends the client.
+func (c *Client) Close() error { return c.conn.Close() }
+
+func (c *Client) run() {
+	b := make([]byte, maxDatagram)
+	for {
+		n, _, err := c.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		p, data, err := platform.ReadPacket(b[:n])
+		if err != nil {
+			continue
+		}
+		c.mu.Lock()
+		f := c.flows[packet.FlowID{Client: p.To, Address: p.From}]
+		c.mu.Unlock()
+		if f == nil {
+			continue
+		}
+		select {
+		case f.in <- arrival{p, append([]byte(nil), data...)}:
+		default:
+			// A client that does not read loses packets, as on a network.
+		}
+	}
+}
+
+type arrival struct {
+	packet platform.Packet
+	data   []byte
+}
+
+// Flow is an open flow. It is used by one goroutine.
+type Flow struct {
+	client *Client
+	id     packet.FlowID
+	in     chan arrival
+	token  uint32
+	// seq and ack are the next positions of the client and of the instance.
+	seq, ack uint32
+	// Instance is the one that answered the opening.
+	Instance uint64
+}
+
+// Open opens a flow to a service address from a new port.
+func (c *Client) Open(ctx context.Context, address netip.AddrPort) (*Flow, error) {
+	c.mu.Lock()
+	c.port++
+	id := packet.FlowID{Client: netip.AddrPortFrom(c.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr(), c.port), Address: address}
+	f := &Flow{client: c, id: id, in: make(chan arrival, 64), seq: 1000}
+	c.flows[id] = f
+	c.mu.Unlock()
+	for i, at := range openCopies[:len(openCopies)-1] {
+		f.send(platform.Packet{Open: true, Seq: f.seq, Ack: uint32(i)}, nil)
+		a, err := f.receive(ctx, openCopies[i+1]-at, func(a arrival) bool { return a.packet.Open && a.packet.Ack == f.seq+1 })
+		if errors.Is(err, ErrSilent) {
+			continue
+		}
+		if err != nil {
+			f.Forget()
+			return nil, err
+		}
+		f.seq, f.ack = f.seq+1, a.packet.Seq+1
+		f.Instance = uint64(a.packet.Seq)
+		return f, nil
+	}
+	f.Forget()
+	return nil, ErrSilent
+}
+
+// Do sends a payload and waits for the same payload from the instance, until
+// limit.
+func (f *Flow) Do(ctx context.Context, payload []byte, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for wait := repeatFirst; time.Now().Before(end); wait *= 2 {
+		f.send(platform.Packet{Seq: f.seq, Ack: f.ack, Acks: true}, payload)
+		want := f.seq + uint32(len(payload))
+		a, err := f.receive(ctx, min(wait, time.Until(end)), func(a arrival) bool { return a.packet.Ack == want && !a.packet.Open })
+		if errors.Is(err, ErrSilent) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if string(a.data) != string(payload) {
+			return errors.Errorf("answer %q to %q", a.data, payload)
+		}
+		f.seq, f.ack = want, a.packet.Seq+uint32(len(a.data))
+		return nil
+	}
+	return ErrSilent
+}
+
+// Forget ends the flow at the client without telling the instance.
+func (f *Flow) Forget() {
+	f.client.mu.Lock()
+	defer f.client.mu.Unlock()
+	delete(f.client.flows, f.id)
+}
+
+func (f *Flow) send(p platform.Packet, data []byte) {
+	p.From, p.To, p.Token = f.id.Client, f.id.Address, f.token
+	if to := f.client.route(f.id); to.IsValid() {
+		// A packet that can't be sent is lost, as on a network.
+		_, _ = f.client.conn.WriteToUDPAddrPort(platform.AppendPacket(nil, p, data), to)
+	}
+}
+
+// receive waits for a packet that want accepts.
+func (f *Flow) receive(ctx context.Context, limit time.Duration, want func(arrival) bool) (arrival, error) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return arrival{}, ctx.Err()
+		case <-t.C:
+			return arrival{}, ErrSilent
+		case a := <-f.in:
+			if a.packet.Reset {
+				return arrival{}, ErrReset
+			}
+			f.token = a.packet.Token
+			if want(a) {
+				return a, nil
+			}
+		}
+	}
+}
