Reset slots after a new incarnation; filter the time line by request and client

Cause of the first: a report of a new incarnation set the slots and then replaced the admission state, so that the default held until the next report.

--- a/core/cmds/observe.go
+++ b/core/cmds/observe.go
@@ -22,16 +22,16 @@
 
 func observe(st *table.Upstream, now time.Time, sig health.Signal) bool {
 	before := st.Health.Incarnation()
-	st.Health = st.Health.With(now, sig)
+	st.Judge(now, sig)
+	restarted := before != 0 && st.Health.Incarnation() != before
+	if restarted {
+		st.Admit = admit.NewUpstream(now)
+		st.Pending, st.Uploads = nil, 0
+	}
 	if n := st.Health.Slots(); n > 0 {
 		st.Admit.SetSlots(n)
 	}
-	if before == 0 || st.Health.Incarnation() == before {
-		return false
-	}
-	st.Admit = admit.NewUpstream(now)
-	st.Pending, st.Uploads = nil, 0
-	return true
+	return restarted
 }
 
 // Configure puts a configuration in force. It reports false for a revision
--- a/core/engine/memory_test.go
+++ b/core/engine/memory_test.go
@@ -209,7 +209,7 @@
 		if m.cut == nil || !m.cut(b.Self.Peer, to) {
 			m.later(func() { m.toPeer(to, &input.Gossip{Message: msg}) })
 		}
-	case *effect.Poll, *effect.Fetch:
+	case *effect.Poll, *effect.Fetch, *effect.Deliver, *effect.ResetFlow, *effect.Wake:
 	}
 }
 
--- a/core/health/query.go
+++ b/core/health/query.go
@@ -1,6 +1,9 @@
 package health
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Incarnation returns the incarnation, or 0 when it is unknown.
 func (s State) Incarnation() uint64 { return s.incarnation }
@@ -32,19 +35,32 @@
 // Ejected reports whether the upstream is out of use on health alone.
 func (s State) Ejected(now time.Time) bool { return now.Before(s.until) }
 
-// DoubtUntil returns the time until which new flows avoid the upstream because
-// of unanswered traffic; zero when its last traffic was answered.
-func (s State) DoubtUntil() time.Time {
+// Doubtful reports whether new flows avoid the upstream because its last
+// traffic is unanswered.
+func (s State) Doubtful(now time.Time) bool {
 	n := s.opens + s.requests
-	if n == 0 {
-		return time.Time{}
+	return n > 0 && now.Sub(s.failed) < min(doubtFirst<<min(n-1, 8), doubtMost)
+}
+
+// Latency returns the mean time of recent answers, or 0 when there were none.
+func (s State) Latency(now time.Time) time.Duration {
+	if now.Sub(s.answered) > latencyTime {
+		return 0
 	}
-	return s.failed.Add(min(doubtFirst<<min(n-1, 8), doubtMost))
+	return s.latency
 }
 
-// Latency returns the mean time of recent answers and until when it counts.
-func (s State) Latency() (mean time.Duration, until time.Time) {
-	return s.latency, s.answered.Add(latencyTime)
+// Concurrency returns the mean number of requests in progress of late: time
+// taken per time passed.
+func (s State) Concurrency(now time.Time) float64 {
+	return float64(s.takenAt(now)) * math.Ln2 / float64(takenHalf)
+}
+
+func (s State) takenAt(now time.Time) time.Duration {
+	if s.taken == 0 {
+		return 0
+	}
+	return time.Duration(float64(s.taken) * math.Exp2(-float64(now.Sub(s.answered))/float64(takenHalf)))
 }
 
 // Eligible reports whether the upstream may get new flows, when the other
--- a/core/health/state.go
+++ b/core/health/state.go
@@ -34,6 +34,9 @@
 	latencyWeight = 0.2
 	// latencyTime is how long the mean latency counts after the last answer.
 	latencyTime = 3 * time.Second
+	// takenHalf is long enough for some ten requests of one of a data centre's
+	// balancers, and short enough to follow a burst.
+	takenHalf = 1500 * time.Millisecond
 	// formerKept is the number of replaced incarnations whose lagging reports
 	// are recognized.
 	formerKept = 4
@@ -63,6 +66,9 @@
 	// them came.
 	latency  time.Duration
 	answered time.Time
+	// taken is the time that requests of late have taken, brought up to date at
+	// answered; its weight halves per takenHalf.
+	taken time.Duration
 	// ejected and until are the start and end of the last ejection in a row of
 	// ejections without a success between them.
 	ejected, until time.Time
@@ -197,6 +203,7 @@
 	} else {
 		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
 	}
+	s.taken = s.takenAt(now) + took
 	s.answered = now
 	return s
 }
--- a/core/packet/segment.go
+++ b/core/packet/segment.go
@@ -1,6 +1,10 @@
 package packet
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // FlowID names an opaque flow by its two ends. It is comparable.
 type FlowID struct {
@@ -9,6 +13,17 @@
 	Address netip.AddrPort
 }
 
+// Hash spreads flows; it is the same on all balancers.
+func (f FlowID) Hash() uint64 {
+	var b [12]byte
+	c, a := f.Client.Addr().As4(), f.Address.Addr().As4()
+	copy(b[:], c[:])
+	copy(b[4:], a[:])
+	b[8], b[9] = byte(f.Client.Port()>>8), byte(f.Client.Port())
+	b[10], b[11] = byte(f.Address.Port()>>8), byte(f.Address.Port())
+	return xxhash.Sum64(b[:])
+}
+
 // SegmentKind is what a segment does to its flow.
 type SegmentKind uint8
 
--- a/core/query/direct.go
+++ b/core/query/direct.go
@@ -1,11 +1,8 @@
 package query
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretdock/core/member"
 	"egretdock/core/model"
 	"egretdock/core/packet"
@@ -81,17 +78,6 @@
 	return found, ""
 }
 
-// FlowHash spreads flows; it is the same on all balancers.
-func FlowHash(f packet.FlowID) uint64 {
-	var b [12]byte
-	c, a := f.Client.Addr().As4(), f.Address.Addr().As4()
-	copy(b[:], c[:])
-	copy(b[4:], a[:])
-	binary.LittleEndian.PutUint16(b[8:], f.Client.Port())
-	binary.LittleEndian.PutUint16(b[10:], f.Address.Port())
-	return rank.Mix(xxhash.Sum64(b[:]))
-}
-
 // Choice is the instance chosen for a new flow.
 type Choice struct {
 	// Backend is nil when there is none.
@@ -105,10 +91,6 @@
 }
 
 const (
-	// localShare is the part of its fair share of slots that the own data centre
-	// must have to take all of its clients' new flows. Below it, flows go to all
-	// data centres in proportion.
-	localShare = 0.6
 	// spillFrom is the number of requests in progress for each slot of the own
 	// data centre from which new flows go to other data centres: two slots that
 	// are 60% busy have 0.9 each, queued ones included. Bulky requests stay
@@ -145,7 +127,7 @@
 // Place chooses the instance of a new flow. tried holds the instances that have
 // not answered its opening; they are chosen last.
 func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, site Site, now time.Time) Choice {
-	hash := FlowHash(f)
+	hash := rank.Mix(f.Hash())
 	g := d.Group(route.Service(hash))
 	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
 	p.base = lowest(g, now)
@@ -168,7 +150,9 @@
 }
 
 // servesLocally reports whether a flow stays in its own data centre; draw is
-// uniform. The busier the own instances are, the more flows go elsewhere.
+// uniform. The busier the own instances are, the more flows go elsewhere. Before
+// any answer was seen, a data centre with less than its share of the slots keeps
+// flows in proportion.
 func (p *placement) servesLocally(g *table.Group, site Site, bulk bool, draw uint64) bool {
 	if g.LocalSlots == 0 {
 		return false
@@ -176,16 +160,16 @@
 	stay, from := 1.0, spillBulkFrom
 	if !bulk {
 		from = spillFrom
-		if need := localShare * float64(g.Slots) / float64(site.DataCentres); float64(g.LocalSlots) < need {
-			stay = float64(g.LocalSlots) / need
-		}
 	}
-	if busy := p.busy(g, site); busy > from {
-		spill := 1 - from/busy
-		if own, other := p.mean(g.Local), p.mean(g.Remote); other > 0 && other >= own {
-			spill *= spillBack
-		}
-		stay = min(stay, 1-spill)
+	own, other := p.mean(g.Local), p.mean(g.Remote)
+	busy := p.busy(g, site)
+	switch {
+	case own == 0 && !bulk:
+		stay = float64(g.LocalSlots*site.DataCentres) / float64(g.Slots)
+	case busy > from && other > 0 && other >= own:
+		stay = 1 - spillBack*(1-from/busy)
+	case busy > from:
+		stay = from / busy
 	}
 	const parts = 1 << 16
 	return float64(draw%parts) < parts*stay
@@ -196,7 +180,7 @@
 func (p *placement) busy(g *table.Group, site Site) float64 {
 	sum := 0.0
 	for _, b := range g.Local {
-		sum += b.State.Concurrency(p.now)
+		sum += b.State.Judged().Concurrency(p.now)
 	}
 	return sum * float64(site.Balancers) / float64(g.LocalSlots)
 }
@@ -206,7 +190,7 @@
 	var low time.Duration
 	for _, set := range [][]*table.Backend{g.Local, g.Remote} {
 		for _, b := range set {
-			if l := b.State.Latency(now); l > 0 && (low == 0 || l < low) {
+			if l := b.State.Judged().Latency(now); l > 0 && (low == 0 || l < low) {
 				low = l
 			}
 		}
@@ -219,7 +203,7 @@
 	var sum time.Duration
 	n := 0
 	for _, b := range set {
-		if l := b.State.Latency(p.now); l > 0 {
+		if l := b.State.Judged().Latency(p.now); l > 0 {
 			sum += l
 			n++
 		}
@@ -246,7 +230,7 @@
 	var score uint64
 	for _, set := range sets {
 		for _, b := range set {
-			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Doubtful(p.now) {
+			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Judged().Doubtful(p.now) {
 				continue
 			}
 			c.Candidates++
@@ -272,7 +256,7 @@
 		n = int(b.State.Open())
 	}
 	n = (n + 1) * 100 / b.Instance.Slots
-	switch l := b.State.Latency(p.now); {
+	switch l := b.State.Judged().Latency(p.now); {
 	case l > 0 && p.base > 0:
 		return int(float64(n) * min(float64(l)/float64(p.base), maxSlower))
 	case p.now.Sub(b.Since) < b.Instance.WarmupLeft:
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -202,8 +202,10 @@
 func TestReader(t *testing.T) {
 	at := netip.MustParseAddrPort("10.0.0.1:7000")
 	v := member.NewView([]model.Balancer{
-		{Name: "b1", DataCentre: "ain", Fetch: at}, {Name: "b2", DataCentre: "ain", Fetch: at},
-		{Name: "b3", DataCentre: "sidi", Fetch: at}, {Name: "seed", DataCentre: "sidi"},
+		{Name: "b1", DataCentre: "ain", Fetch: at},
+		{Name: "b2", DataCentre: "ain", Fetch: at},
+		{Name: "b3", DataCentre: "sidi", Fetch: at},
+		{Name: "seed", DataCentre: "sidi"},
 	})
 	got, ok := Reader(v, "sidi")
 	if !ok || got.Name != "b3" {
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -1,7 +1,6 @@
 package table
 
 import (
-	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,7 +70,9 @@
 // Token returns the token of an instance: every balancer computes the same one.
 func Token(id uint64) uint32 {
 	var b [8]byte
-	binary.BigEndian.PutUint64(b[:], id)
+	for i := range b {
+		b[i] = byte(id >> (56 - 8*i))
+	}
 	if t := uint32(xxhash.Sum64(b[:])); t != 0 {
 		return t
 	}
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -1,11 +1,8 @@
 package table
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretdock/core/locks"
 	"egretdock/core/packet"
 )
@@ -161,10 +158,7 @@
 }
 
 func (ts *Tracks) shard(f packet.FlowID) *trackShard {
-	b := f.Client.Addr().As4()
-	x := uint64(binary.LittleEndian.Uint32(b[:]))<<16 | uint64(f.Client.Port())
-	binary.LittleEndian.PutUint32(b[:], uint32(x>>16))
-	return &ts.shards[xxhash.Sum64(append(b[:], byte(x), byte(x>>8)))%trackShards]
+	return &ts.shards[f.Hash()%trackShards]
 }
 
 // Get returns the track of a flow.
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -1,7 +1,6 @@
 package table
 
 import (
-	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -25,16 +24,8 @@
 	placed atomic.Int32
 	// open counts the long opaque flows that this balancer has seen open there.
 	open atomic.Int32
-	// doubtUntil mirrors Health for readers without the lock, in nanoseconds of
-	// the process's steady clock.
-	doubtUntil atomic.Int64
-	// latency and latencyUntil mirror Health in nanoseconds; the second is on the
-	// steady clock.
-	latency, latencyUntil atomic.Int64
-	// taken is the time that this balancer's requests of late have taken, in
-	// nanoseconds, each halved per takenHalf since then; takenAt is when it was
-	// brought up to date, on the steady clock.
-	taken, takenAt atomic.Int64
+	// judged is a copy of Health for readers without the lock.
+	judged atomic.Pointer[health.State]
 
 	// Admit is the admission state of the current incarnation.
 	Admit admit.Upstream
@@ -62,52 +53,24 @@
 func (u *Upstream) Observe(h *locks.Holder, now time.Time, sig health.Signal) {
 	u.Lock(h)
 	defer u.Unlock(h)
-	u.Health = u.Health.With(now, sig)
-	u.doubtUntil.Store(int64(u.Health.DoubtUntil().Sub(steadyStart)))
-	if a, ok := sig.(health.Answered); ok {
-		u.taken.Store(int64(u.timeTaken(now)) + int64(a.Took))
-		u.takenAt.Store(int64(now.Sub(steadyStart)))
-	}
-	mean, until := u.Health.Latency()
-	u.latency.Store(int64(mean))
-	u.latencyUntil.Store(int64(until.Sub(steadyStart)))
-}
-
-// takenHalf is the time in which the weight of an answered request halves: long
-// enough for some ten requests of one data centre's balancer, short enough to
-// follow a burst.
-const takenHalf = 1500 * time.Millisecond
-
-func (u *Upstream) timeTaken(now time.Time) time.Duration {
-	age := float64(int64(now.Sub(steadyStart)) - u.takenAt.Load())
-	return time.Duration(float64(u.taken.Load()) * math.Exp2(-age/float64(takenHalf)))
+	u.Judge(now, sig)
 }
 
-// Concurrency returns the mean number of this balancer's requests that were in
-// progress at the instance of late: time taken per time passed.
-func (u *Upstream) Concurrency(now time.Time) float64 {
-	return float64(u.timeTaken(now)) * math.Ln2 / float64(takenHalf)
+// Judge takes in a signal; the caller holds the lock.
+func (u *Upstream) Judge(now time.Time, sig health.Signal) {
+	u.Health = u.Health.With(now, sig)
+	judged := u.Health
+	u.judged.Store(&judged)
 }
 
-// Latency returns the mean time of the instance's recent answers, or 0 when
-// there were none.
-func (u *Upstream) Latency(now time.Time) time.Duration {
-	if int64(now.Sub(steadyStart)) > u.latencyUntil.Load() {
-		return 0
+// Judged returns what is known of the upstream; it takes no lock.
+func (u *Upstream) Judged() health.State {
+	if s := u.judged.Load(); s != nil {
+		return *s
 	}
-	return time.Duration(u.latency.Load())
-}
-
-// Doubtful reports whether the instance left openings or requests unanswered of
-// late.
-func (u *Upstream) Doubtful(now time.Time) bool {
-	return int64(now.Sub(steadyStart)) < u.doubtUntil.Load()
+	return health.State{}
 }
 
-// steadyStart anchors times kept as numbers, so that a step of the time of day
-// does not move them.
-var steadyStart = time.Now()
-
 // CountOpen adds to the long flows that this balancer has seen open there.
 func (u *Upstream) CountOpen(n int32) { u.open.Add(n) }
 
--- a/io/emul/soak/faults.go
+++ b/io/emul/soak/faults.go
@@ -62,7 +62,7 @@
 		pause(ctx, d.wait)
 		b.signal(sigCont)
 	}},
-	{"roll", true, func(w *world, ctx context.Context, d draw) {
+	{"roll", true, func(w *world, _ context.Context, d draw) {
 		b := d.balancer(w)
 		b.signal(sigTerm)
 		if !b.wait(graceLimit) {
--- a/io/emul/soak/world.go
+++ b/io/emul/soak/world.go
@@ -19,7 +19,6 @@
 	"github.com/go-faster/errors"
 
 	"egretdock/core/packet"
-	"egretdock/core/query"
 	"egretdock/core/rank"
 	"egretdock/io/emul/objs"
 	"egretdock/io/emul/opaq"
@@ -203,7 +202,7 @@
 	var score uint64
 	for _, b := range from {
 		ip := b.ip.As4()
-		if s := rank.Mix(query.FlowHash(f) ^ uint64(ip[3])<<32); best == nil || s > score {
+		if s := rank.Mix(f.Hash() ^ uint64(ip[3])<<32); best == nil || s > score {
 			best, score = b, s
 		}
 	}
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -216,7 +216,7 @@
 		{"reader without the store", &query.News{Away: true}},
 		{"reader with old news", &query.News{ListAge: newsAge + time.Second}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(c.name, func(*testing.T) {
 			b.answers(c.answer)
 			b.waitEvent("store_reading_started")
 			version := uint64(100 + b.store.Calls())
--- a/io/trace/filter.go
+++ b/io/trace/filter.go
@@ -15,6 +15,10 @@
 	ByCustomer string
 	// ByUpstream selects the events of an upstream.
 	ByUpstream string
+	// ByRequest selects the events of a request.
+	ByRequest string
+	// ByClient selects the events of the flows of a client's address and port.
+	ByClient string
 	// ByRevision selects the events of a configuration revision, which
 	// identifies an edit.
 	ByRevision uint64
@@ -27,6 +31,8 @@
 func (ByFlow) condition()     {}
 func (ByCustomer) condition() {}
 func (ByUpstream) condition() {}
+func (ByRequest) condition()  {}
+func (ByClient) condition()   {}
 func (ByRevision) condition() {}
 func (ByEvent) condition()    {}
 func (ByProcess) condition()  {}
@@ -51,6 +57,10 @@
 		return gap || r.Event.Customer == string(c)
 	case ByUpstream:
 		return gap || r.Event.Upstream == string(c)
+	case ByRequest:
+		return gap || r.Event.Request == string(c)
+	case ByClient:
+		return gap || r.Event.Client.String() == string(c)
 	case ByRevision:
 		return gap || r.Event.Revision == uint64(c)
 	case ByEvent:
