--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -118,6 +118,7 @@
 func TestOlderAnswers(t *testing.T) {
 	r := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{draining(instance(1, 11))}, 11)
 	hasStatus(t, r.WithList(start, list(1), 10), 1, StatusDraining)
+	hasStatus(t, r.WithList(start, nil, 9), 1, StatusDraining)
 	hasStatus(t, r.WithChanges(start, list(1), 10), 1, StatusDraining)
 	hasStatus(t, r.WithChanges(start, list(1), 11), 1, StatusDraining)
 }
--- a/io/emul/objs/store.go
+++ b/io/emul/objs/store.go
@@ -56,6 +56,10 @@
 
 // Store is an http.Handler. The zero value is empty at revision 1.
 type Store struct {
+	// Silenced, if set, is told of each call that gets no answer. It must have
+	// room.
+	Silenced chan struct{}
+
 	mu      sync.Mutex
 	objects map[string]map[string]Object
 	// revision counts changes above 1.
@@ -171,6 +175,9 @@
 	case FaultBusy:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case FaultSilent:
+		if s.Silenced != nil {
+			s.Silenced <- struct{}{}
+		}
 		<-r.Context().Done()
 	case FaultReset:
 		panic(http.ErrAbortHandler)
--- a/io/emul/soak/balancer.go
+++ b/io/emul/soak/balancer.go
@@ -33,7 +33,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// missed counts probes without an answer; two take it out of rotation.
+	// missed counts probes without an answer; two take it out of rotation. A new
+	// balancer begins with two.
 	missed int
 }
 
@@ -74,7 +75,7 @@
 		return errors.Wrap(err, "start "+b.name)
 	}
 	done := make(chan struct{})
-	b.cmd, b.done, b.missed = cmd, done, 2
+	b.cmd, b.done = cmd, done
 	go func() {
 		// The exit status of a process that was killed says nothing new.
 		_ = cmd.Wait()
--- a/io/emul/soak/faults.go
+++ b/io/emul/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -62,7 +63,7 @@
 		pause(ctx, d.wait)
 		b.signal(sigCont)
 	}},
-	{"roll", true, func(w *world, _ context.Context, d draw) {
+	{"roll", true, func(w *world, ctx context.Context, d draw) {
 		b := d.balancer(w)
 		b.signal(sigTerm)
 		if !b.wait(graceLimit) {
@@ -70,6 +71,7 @@
 			b.signal(sigKill)
 			b.wait(time.Second)
 		}
+		pause(ctx, d.wait/4)
 		w.restart(b)
 	}},
 	{"reload", true, func(w *world, _ context.Context, d draw) { d.balancer(w).signal(sigHup) }},
@@ -163,9 +165,13 @@
 	for _, b := range w.balancers {
 		busy[b] = &sync.Mutex{}
 	}
+	from := slices.Clone(faults)
+	if w.opts.PlannedOnly {
+		from = slices.DeleteFunc(from, func(f fault) bool { return !f.planned })
+	}
 	lasting := 0
 	for time.Now().Before(end) && pause(ctx, time.Duration(w.rnd.IntN(2500))*time.Millisecond) {
-		f := faults[w.rnd.IntN(len(faults))]
+		f := from[w.rnd.IntN(len(from))]
 		d := draw{pick: w.rnd.Uint64(), wait: time.Duration(200+w.rnd.IntN(3000)) * time.Millisecond}
 		w.mu.Lock()
 		w.report.Faults = append(w.report.Faults, fmt.Sprintf("%s pick=%d wait=%s", f.name, d.pick%1000, d.wait))
--- a/io/emul/soak/run.go
+++ b/io/emul/soak/run.go
@@ -14,12 +14,14 @@
 	"egretdock/io/emul/opaq"
 )
 
-// Options configure a run; all are required.
+// Options configure a run; all are required but PlannedOnly.
 type Options struct {
 	// Seed decides the faults.
 	Seed uint64
 	// For is the time with faults.
 	For time.Duration
+	// PlannedOnly leaves out all faults but planned work.
+	PlannedOnly bool
 	// Processes is the number of balancers.
 	Processes int
 	// Clients is the number of client addresses; each has several flows.
--- a/io/emul/soak/soak_test.go
+++ b/io/emul/soak/soak_test.go
@@ -29,9 +29,11 @@
 }
 
 // run runs one seed and fails for each promise that broke.
-func run(t *testing.T, seed uint64, d time.Duration, processes int) Report {
+func run(t *testing.T, o Options) Report {
 	t.Helper()
-	r, err := Run(context.Background(), Options{Seed: seed, For: d, Processes: processes, Clients: 6, Program: program, Dir: t.TempDir()})
+	o.Clients, o.Program, o.Dir = 6, program, t.TempDir()
+	seed := o.Seed
+	r, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,14 +49,22 @@
 // Guards against the loss of the whole path: real processes serve, and leave
 // and return, with no request failed while nothing unplanned happens.
 func TestCalmRun(t *testing.T) {
-	if r := run(t, 1, 0, 4); len(r.Failed) > 0 {
+	if r := run(t, Options{Seed: 1, Processes: 4}); len(r.Failed) > 0 {
 		t.Errorf("requests failed without a fault: %v", r.Failed)
 	}
 }
 
+// Guards against requests that planned work cuts: balancers that are stopped and
+// started, instances that are replaced, and changes of the configuration.
+func TestPlannedWork(t *testing.T) {
+	if r := run(t, Options{Seed: 3, For: 20 * time.Second, Processes: 4, PlannedOnly: true}); len(r.Failed)+r.Undelivered > 0 {
+		t.Errorf("requests failed during planned work: %v, %d packets to processes that had ended; %v", r.Failed, r.Undelivered, r.Faults)
+	}
+}
+
 // A short run with faults; longer ones are run by hand with egretdock soak.
 func TestSeededRun(t *testing.T) {
-	r := run(t, 2, 20*time.Second, 4)
+	r := run(t, Options{Seed: 2, For: 20 * time.Second, Processes: 4})
 	if len(r.Faults) == 0 {
 		t.Error("no fault was injected")
 	}
--- a/io/emul/soak/world.go
+++ b/io/emul/soak/world.go
@@ -115,7 +115,7 @@
 	}
 	b := &balancer{
 		name: fmt.Sprintf("b%d", i+1), dataCentre: dataCentre(i), ip: w.addr(1, byte(i+1)),
-		ports: w.ports, store: p, program: w.opts.Program,
+		ports: w.ports, store: p, program: w.opts.Program, missed: 2,
 	}
 	if b.log, err = os.Create(filepath.Join(w.opts.Dir, b.name+".log")); err != nil {
 		return errors.Wrap(err, "log file")
@@ -209,6 +209,11 @@
 	if best == nil {
 		return netip.AddrPort{}
 	}
+	if !best.running() {
+		w.mu.Lock()
+		w.report.Undelivered++
+		w.mu.Unlock()
+	}
 	return netip.AddrPortFrom(best.ip, w.ports.packets)
 }
 
@@ -264,6 +269,8 @@
 	// Served and Failed count requests by what became of them.
 	Served map[string]int `json:"served"`
 	Failed map[string]int `json:"failed"`
+	// Undelivered counts packets that routers sent to a process that had ended.
+	Undelivered int `json:"undelivered"`
 	// Faults are the faults injected, in order.
 	Faults []string `json:"faults"`
 	// Broken are the promises that did not hold.
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -38,7 +38,7 @@
 func newBench(t *testing.T, self bool) *bench {
 	t.Helper()
 	b := &bench{
-		t: t, store: &objs.Store{}, self: self, reader: model.Balancer{Name: "reader"},
+		t: t, store: &objs.Store{Silenced: make(chan struct{}, 100)}, self: self, reader: model.Balancer{Name: "reader"},
 		inputs: make(chan input.Input, 1000), events: make(chan effect.Event, 1000),
 	}
 	srv := httptest.NewServer(b.store)
@@ -181,6 +181,9 @@
 	b.configure(7)
 	waitFor(b, "the routes", versionIs(7))
 	b.store.Break(objs.FaultSilent)
+	// Both kinds of objects are watched.
+	<-b.store.Silenced
+	<-b.store.Silenced
 	b.configure(8)
 	b.store.Break(objs.FaultNone)
 	waitFor(b, "the routes after the silence", versionIs(8))
--- a/io/trial/register.go
+++ b/io/trial/register.go
@@ -1,5 +1,5 @@
 // Package trial holds the commands that try the system out on one machine: demo,
-// load, call and upstream.
+// load, call, upstream and soak.
 package trial
 
 import (
@@ -10,7 +10,7 @@
 
 // Register adds the commands.
 func Register(cdr *subcommands.Commander, e cmdenv.Env) {
-	for _, c := range []subcommands.Command{&Demo{Env: e}, &Load{Env: e}, &Call{Env: e}, &Upstream{Env: e}} {
+	for _, c := range []subcommands.Command{&Demo{Env: e}, &Load{Env: e}, &Call{Env: e}, &Upstream{Env: e}, &Soak{Env: e}} {
 		cdr.Register(c, "trials")
 	}
 }
