--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -1,13 +1,11 @@
 package engine
 
 import (
-	"strconv"
 	"time"
 
 	"egretdock/core/cmds"
 	"egretdock/core/effect"
 	"egretdock/core/health"
-	"egretdock/core/input"
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/query"
@@ -36,62 +34,6 @@
 	FlowLifetime time.Duration
 }
 
-func (e *Engine) routed(w *Work, now time.Time, in *input.Routed) {
-	if !cmds.Route(&w.locks, now, &e.Tables, in) {
-		return
-	}
-	w.Out.Add(&effect.Event{
-		Name: "routes_in_force", Revision: in.Routing.Revision,
-		Detail: "version=" + strconv.FormatUint(in.Routing.Version, 10) + " routes=" + strconv.Itoa(in.Routing.Len()),
-	})
-}
-
-func (e *Engine) listed(w *Work, now time.Time, in *input.Listed) {
-	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
-		return r.WithList(now, in.Entries, in.Revision), true
-	})
-	cmds.ConfirmRoster(&w.locks, now.Add(-in.Age), &e.Tables)
-}
-
-func (e *Engine) listChanged(w *Work, now time.Time, in *input.ListChanged) {
-	if len(in.Changes) > 0 {
-		e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
-			return r.WithChanges(now, in.Changes, in.Revision), true
-		})
-	}
-	cmds.ConfirmRoster(&w.locks, now.Add(-in.Age), &e.Tables)
-}
-
-func (e *Engine) storeChanged(w *Work, now time.Time, in *input.StoreChanged) {
-	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
-		return r.WithStore(now, in.Away), r.Away != in.Away
-	})
-}
-
-// updateRoster changes the instances and reports each whose status changed.
-func (e *Engine) updateRoster(w *Work, fn func(roster.Roster) (roster.Roster, bool)) {
-	before := e.Tables.Direct()
-	if !cmds.Roster(&w.locks, &e.Tables, e.Self.DataCentre, fn) {
-		return
-	}
-	after := e.Tables.Direct()
-	for id, b := range after.Backends() {
-		old, known := before.Backend(id)
-		if known && old.Status == b.Status && old.Instance.Born == b.Instance.Born {
-			continue
-		}
-		from := "unknown"
-		if known {
-			from = old.Status.String()
-		}
-		w.Out.Add(&effect.Event{
-			Name: "instance_" + b.Status.String(), Upstream: b.Instance.Name, Service: b.Instance.Service,
-			List:   after.Roster.Revision,
-			Detail: "before=" + from + " endpoint=" + b.Instance.Endpoint.String() + " data_centre=" + b.Instance.DataCentre,
-		})
-	}
-}
-
 func (e *Engine) tickDirect(w *Work, now time.Time) {
 	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) { return r.WithTime(now) })
 	e.hedge(w, now)
--- /dev/null
+++ b/core/query/place.go
@@ -0,0 +1,198 @@
+package query
+
+import (
+	"time"
+
+	"egretdock/core/member"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/rank"
+	"egretdock/core/table"
+)
+
+// Choice is the instance chosen for a new flow.
+type Choice struct {
+	// Backend is nil when there is none.
+	Backend *table.Backend
+	// Load is the instance's figure in the comparison, per 100 slots.
+	Load int
+	// Candidates is the number of instances compared.
+	Candidates int
+	// Tier names the set that they came from.
+	Tier string
+}
+
+const (
+	// spillFrom is the number of requests in progress for each slot of the own
+	// data centre from which new flows go to other data centres: two slots that
+	// are 60% busy have 0.9 each, queued ones included. Bulky requests stay
+	// longer, since their transfer is costly.
+	spillFrom, spillBulkFrom = 0.9, 4.0
+	// spillBack is the part of the flows that would go elsewhere that do while
+	// the instances there are known to be no faster.
+	spillBack = 0.2
+	// maxSlower bounds how much less an instance gets because it is slow.
+	maxSlower = 8.0
+)
+
+// Site is what a placement needs to know of the fleet.
+type Site struct {
+	// DataCentres is the number of data centres with clients.
+	DataCentres int
+	// Balancers is the number of live balancers in the own data centre, over
+	// which its clients' packets are spread evenly; this one included.
+	Balancers int
+}
+
+// SiteOf returns the site of a balancer in a data centre.
+func SiteOf(v member.View, dataCentre string, dataCentres int) Site {
+	s := Site{DataCentres: max(1, dataCentres)}
+	for _, b := range v.Balancers() {
+		if b.DataCentre == dataCentre && b.Fetch.IsValid() {
+			s.Balancers++
+		}
+	}
+	s.Balancers = max(1, s.Balancers)
+	return s
+}
+
+// Place chooses the instance of a new flow. tried holds the instances that have
+// not answered its opening; they are chosen last.
+func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, site Site, now time.Time) Choice {
+	hash := rank.Mix(f.Hash())
+	g := d.Group(route.Service(hash))
+	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
+	p.base = lowest(g, now)
+	if p.servesLocally(g, site, route.Bulk, rank.Mix(hash)) {
+		if c := p.choose("local", true, g.Local); c.Backend != nil {
+			return c
+		}
+	}
+	if c := p.choose("any", true, g.Local, g.Remote); c.Backend != nil {
+		return c
+	}
+	if c := p.choose("doubtful", false, g.Local, g.Remote); c.Backend != nil {
+		return c
+	}
+	if c := p.choose("lapsed", false, g.Lapsed); c.Backend != nil {
+		return c
+	}
+	p.tried = &table.Track{}
+	return p.choose("again", false, g.Local, g.Remote, g.Lapsed)
+}
+
+// servesLocally reports whether a flow stays in its own data centre; draw is
+// uniform. The busier the own instances are, the more flows go elsewhere. Before
+// any answer was seen, a data centre with less than its share of the slots keeps
+// flows in proportion.
+func (p *placement) servesLocally(g *table.Group, site Site, bulk bool, draw uint64) bool {
+	if g.LocalSlots == 0 {
+		return false
+	}
+	stay, from := 1.0, spillBulkFrom
+	if !bulk {
+		from = spillFrom
+	}
+	own, other := p.mean(g.Local), p.mean(g.Remote)
+	busy := p.busy(g, site)
+	switch {
+	case own == 0 && !bulk:
+		stay = float64(g.LocalSlots*site.DataCentres) / float64(g.Slots)
+	case busy > from && other > 0 && other >= own:
+		stay = 1 - spillBack*(1-from/busy)
+	case busy > from:
+		stay = from / busy
+	}
+	const parts = 1 << 16
+	return float64(draw%parts) < parts*stay
+}
+
+// busy estimates the requests in progress for each slot of the own data centre
+// from those of this balancer.
+func (p *placement) busy(g *table.Group, site Site) float64 {
+	sum := 0.0
+	for _, b := range g.Local {
+		sum += b.State.Judged().Concurrency(p.now)
+	}
+	return sum * float64(site.Balancers) / float64(g.LocalSlots)
+}
+
+// lowest returns the lowest known latency of a service, or 0.
+func lowest(g *table.Group, now time.Time) time.Duration {
+	var low time.Duration
+	for _, set := range [][]*table.Backend{g.Local, g.Remote} {
+		for _, b := range set {
+			if l := b.State.Judged().Latency(now); l > 0 && (low == 0 || l < low) {
+				low = l
+			}
+		}
+	}
+	return low
+}
+
+// mean returns the mean of the known latencies, or 0.
+func (p *placement) mean(set []*table.Backend) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, b := range set {
+		if l := b.State.Judged().Latency(p.now); l > 0 {
+			sum += l
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+type placement struct {
+	now   time.Time
+	hash  uint64
+	long  bool
+	tried *table.Track
+	// base is the lowest known latency of the service, or 0.
+	base time.Duration
+}
+
+// choose returns the instance with the least load for its slots; among equals
+// the first in the flow's rendezvous order.
+func (p *placement) choose(tier string, certain bool, sets ...[]*table.Backend) Choice {
+	c := Choice{Tier: tier}
+	var score uint64
+	for _, set := range sets {
+		for _, b := range set {
+			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Judged().Doubtful(p.now) {
+				continue
+			}
+			c.Candidates++
+			load, s := p.load(b), rank.Mix(b.Key^p.hash)
+			if c.Backend == nil || load < c.Load || load == c.Load && s > score {
+				c.Backend, c.Load, score = b, load, s
+			}
+		}
+	}
+	return c
+}
+
+// warmupPenalty counts the flows of an instance in its slow start this many
+// times while its latency is not known.
+const warmupPenalty = 2
+
+// load is the number of flows per 100 slots, weighted by how slow the instance
+// answers. Long flows are spread by those open now, others by those placed of
+// late.
+func (p *placement) load(b *table.Backend) int {
+	n := int(b.State.Placed())
+	if p.long {
+		n = int(b.State.Open())
+	}
+	n = (n + 1) * 100 / b.Instance.Slots
+	switch l := b.State.Judged().Latency(p.now); {
+	case l > 0 && p.base > 0:
+		return int(float64(n) * min(float64(l)/float64(p.base), maxSlower))
+	case p.now.Sub(b.Since) < b.Instance.WarmupLeft:
+		return n * warmupPenalty
+	}
+	return n
+}
--- a/io/daemon/app.go
+++ b/io/daemon/app.go
@@ -23,6 +23,7 @@
 	"egretdock/io/admin"
 	"egretdock/io/config"
 	"egretdock/io/logs"
+	"egretdock/io/loop"
 	"egretdock/io/peers"
 	"egretdock/io/relay"
 	"egretdock/io/store"
@@ -161,7 +162,7 @@
 	app := kratos.New(
 		kratos.Name(a.settings.Name),
 		kratos.Context(context.WithoutCancel(ctx)),
-		kratos.Server(a.status, a.fetchServer, newLoop(a.daemonLoop), newLoop(a.relayLoop), newLoop(a.hostsLoop)),
+		kratos.Server(a.status, a.fetchServer, loop.New(a.daemonLoop), loop.New(a.relayLoop), loop.New(a.hostsLoop)),
 		kratos.StopTimeout(leaveLimit+5*time.Second),
 		kratos.BeforeStop(func(context.Context) error {
 			once.Do(func() {
@@ -253,33 +254,6 @@
 	return out
 }
 
-// loop runs a function as a kratos server.
-type loop struct {
-	run    func(context.Context) error
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-}
-
-func newLoop(run func(context.Context) error) *loop {
-	l := &loop{run: run, done: make(chan struct{})}
-	l.ctx, l.cancel = context.WithCancel(context.Background())
-	return l
-}
-
-// Start implements transport.Server.
-func (l *loop) Start(context.Context) error {
-	defer close(l.done)
-	return l.run(l.ctx)
-}
-
-// Stop implements transport.Server.
-func (l *loop) Stop(context.Context) error {
-	l.cancel()
-	<-l.done
-	return nil
-}
-
 // fetchServer serves the configuration to other balancers.
 type fetchServer struct {
 	http *http.Server
--- a/io/emul/soak/check.go
+++ b/io/emul/soak/check.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"egretdock/io/emul/opaq"
+	"egretdock/io/loop"
 )
 
 // broke records a promise that did not hold.
@@ -66,7 +67,7 @@
 // that the configuration in force is not too old.
 func (w *world) checkRoutes(ctx context.Context, c *opaq.Client) {
 	want, since := false, time.Now()
-	for pause(ctx, 200*time.Millisecond) {
+	for loop.Sleep(ctx, 200*time.Millisecond) {
 		w.mu.Lock()
 		if w.extra != want {
 			want, since = w.extra, time.Now()
@@ -92,13 +93,13 @@
 
 // checkRecovery checks that requests are served again once all faults are over.
 func (w *world) checkRecovery(ctx context.Context) {
-	if !pause(ctx, recoverLimit) {
+	if !loop.Sleep(ctx, recoverLimit) {
 		return
 	}
 	w.mu.Lock()
 	before := w.report.Served["answered"]
 	w.mu.Unlock()
-	if !pause(ctx, 3*time.Second) {
+	if !loop.Sleep(ctx, 3*time.Second) {
 		return
 	}
 	w.mu.Lock()
--- a/io/emul/soak/faults.go
+++ b/io/emul/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"egretdock/io/emul/objs"
+	"egretdock/io/loop"
 )
 
 const (
@@ -44,14 +45,14 @@
 		b := d.balancer(w)
 		b.signal(sigKill)
 		b.wait(time.Second)
-		pause(ctx, d.wait/4)
+		loop.Sleep(ctx, d.wait/4)
 		w.restart(b)
 	}},
 	{"kill_all", false, func(w *world, ctx context.Context, d draw) {
 		for _, b := range w.balancers {
 			b.signal(sigKill)
 		}
-		pause(ctx, d.wait/4)
+		loop.Sleep(ctx, d.wait/4)
 		for _, b := range w.balancers {
 			b.wait(time.Second)
 			w.restart(b)
@@ -60,7 +61,7 @@
 	{"freeze", false, func(w *world, ctx context.Context, d draw) {
 		b := d.balancer(w)
 		b.signal(sigStop)
-		pause(ctx, d.wait)
+		loop.Sleep(ctx, d.wait)
 		b.signal(sigCont)
 	}},
 	{"roll", true, func(w *world, ctx context.Context, d draw) {
@@ -71,19 +72,19 @@
 			b.signal(sigKill)
 			b.wait(time.Second)
 		}
-		pause(ctx, d.wait/4)
+		loop.Sleep(ctx, d.wait/4)
 		w.restart(b)
 	}},
 	{"reload", true, func(w *world, _ context.Context, d draw) { d.balancer(w).signal(sigHup) }},
 	{"link", false, func(w *world, ctx context.Context, d draw) {
 		b := d.balancer(w)
 		b.store.set([]Link{LinkSlow, LinkReset, LinkSilent, LinkOneWay}[d.pick/7%4])
-		pause(ctx, d.wait)
+		loop.Sleep(ctx, d.wait)
 		b.store.set(LinkUp)
 	}},
 	{"store", false, func(w *world, ctx context.Context, d draw) {
 		w.store.Break([]objs.Fault{objs.FaultBusy, objs.FaultSilent, objs.FaultReset}[d.pick%3])
-		pause(ctx, d.wait)
+		loop.Sleep(ctx, d.wait)
 		w.store.Break(objs.FaultNone)
 	}},
 	{"compact", false, func(w *world, _ context.Context, _ draw) { w.store.Compact() }},
@@ -134,7 +135,7 @@
 	u.drained = time.Now()
 	w.mu.Unlock()
 	// It serves its flows for the bound and somewhat longer.
-	pause(ctx, drainLimit+d.wait)
+	loop.Sleep(ctx, drainLimit+d.wait)
 	w.store.Delete("servers", u.Name)
 }
 
@@ -149,7 +150,7 @@
 	u.lost = time.Now()
 	w.mu.Unlock()
 	u.SetDeaf(true)
-	pause(ctx, 3*770*time.Millisecond)
+	loop.Sleep(ctx, 3*770*time.Millisecond)
 	w.store.Delete("servers", u.Name)
 	if err := w.addInstance(u.Service, u.dataCentre); err != nil {
 		w.broke("harness: %v", err)
@@ -170,7 +171,7 @@
 		from = slices.DeleteFunc(from, func(f fault) bool { return !f.planned })
 	}
 	lasting := 0
-	for time.Now().Before(end) && pause(ctx, time.Duration(w.rnd.IntN(2500))*time.Millisecond) {
+	for time.Now().Before(end) && loop.Sleep(ctx, time.Duration(w.rnd.IntN(2500))*time.Millisecond) {
 		f := from[w.rnd.IntN(len(from))]
 		d := draw{pick: w.rnd.Uint64(), wait: time.Duration(200+w.rnd.IntN(3000)) * time.Millisecond}
 		w.mu.Lock()
--- a/io/emul/soak/run.go
+++ b/io/emul/soak/run.go
@@ -12,6 +12,7 @@
 
 	"egretdock/core/packet"
 	"egretdock/io/emul/opaq"
+	"egretdock/io/loop"
 )
 
 // Options configure a run; all are required but PlannedOnly.
@@ -105,7 +106,7 @@
 		if ready == len(w.balancers) {
 			return nil
 		}
-		if !pause(ctx, probeEvery/5) {
+		if !loop.Sleep(ctx, probeEvery/5) {
 			return ctx.Err()
 		}
 	}
@@ -118,7 +119,7 @@
 		f, err := c.Open(ctx, s.address)
 		if err != nil {
 			w.count(false, "open: "+err.Error())
-			pause(ctx, 50*time.Millisecond)
+			loop.Sleep(ctx, 50*time.Millisecond)
 			continue
 		}
 		w.checkService(s, f.Instance)
@@ -132,7 +133,7 @@
 				w.checkEnd(f, err)
 				break
 			}
-			pause(ctx, time.Duration(rnd.IntN(300))*time.Millisecond)
+			loop.Sleep(ctx, time.Duration(rnd.IntN(300))*time.Millisecond)
 			if u := w.byID(f.Instance); u == nil || w.leaving(u) {
 				// A draining instance closes its flows after the next answer.
 				break
@@ -164,15 +165,3 @@
 		w.report.Failed[what]++
 	}
 }
-
-// pause reports false when ctx ended before d.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -13,6 +13,7 @@
 	"egretdock/core/effect"
 	"egretdock/core/input"
 	"egretdock/core/limit"
+	"egretdock/io/loop"
 	"egretdock/platform"
 )
 
@@ -113,7 +114,7 @@
 			}
 			if at > 0 && next > at {
 				// Changes come in groups; one call fetches those of a group.
-				sleep(ctx, s.group())
+				loop.Sleep(ctx, s.group())
 			}
 			failed, at = 0, next
 			continue
@@ -128,7 +129,7 @@
 			f.Event(effect.Event{Name: "store_lost", List: at, Detail: "kind=" + s.name() + " err=" + err.Error()})
 		}
 		f.Store.Forget()
-		sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
+		loop.Sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
 	}
 }
 
@@ -145,14 +146,3 @@
 	f.Call(time.Since(start), err == nil)
 	return next, err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/io/feed/peers.go
+++ b/io/feed/peers.go
@@ -11,6 +11,7 @@
 	"egretdock/core/limit"
 	"egretdock/core/model"
 	"egretdock/core/query"
+	"egretdock/io/loop"
 )
 
 const (
@@ -53,7 +54,7 @@
 		if self {
 			f.read(ctx, true, "role=reader")
 			failed = 0
-			sleep(ctx, roleEvery)
+			loop.Sleep(ctx, roleEvery)
 			continue
 		}
 		news, err := f.news(ctx, reader)
@@ -64,12 +65,12 @@
 			failed++
 			f.read(ctx, true, "reader="+reader.Name+" err="+err.Error())
 			f.Peers.Forget()
-			sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
+			loop.Sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
 		case news.Away || max(news.RoutingAge, news.ListAge) > newsAge:
 			failed = 0
 			f.read(ctx, true, "reader="+reader.Name+" reason=news_not_current")
 			f.push(news)
-			sleep(ctx, roleEvery)
+			loop.Sleep(ctx, roleEvery)
 		default:
 			failed = 0
 			f.push(news)
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -28,6 +28,7 @@
 	"egretdock/io/dgram"
 	"egretdock/io/feed"
 	"egretdock/io/logs"
+	"egretdock/io/loop"
 	"egretdock/io/peers"
 	"egretdock/platform"
 )
@@ -151,7 +152,7 @@
 		kratos.Name(a.settings.Name),
 		// The end of ctx asks kratos to stop, so that the hook that leaves runs.
 		kratos.Context(context.WithoutCancel(ctx)),
-		kratos.Server(newLoop(a.loop)),
+		kratos.Server(loop.New(a.loop)),
 		kratos.StopTimeout(a.settings.Grace),
 		kratos.BeforeStop(func(context.Context) error {
 			once.Do(a.leave)
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"time"
 
 	"egretdock/core/effect"
@@ -40,30 +39,3 @@
 		}
 	}
 }
-
-// loop runs a function as a kratos server.
-type loop struct {
-	run    func(context.Context) error
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
-}
-
-func newLoop(run func(context.Context) error) *loop {
-	l := &loop{run: run, done: make(chan struct{})}
-	l.ctx, l.cancel = context.WithCancel(context.Background())
-	return l
-}
-
-// Start implements transport.Server.
-func (l *loop) Start(context.Context) error {
-	defer close(l.done)
-	return l.run(l.ctx)
-}
-
-// Stop implements transport.Server.
-func (l *loop) Stop(context.Context) error {
-	l.cancel()
-	<-l.done
-	return nil
-}
