Prefer instances of the own region

Deployments of several regions are served too: instances of other regions get new flows only when the own region has none. On sites of one region nothing changes. TestRegionsComeInOrder fails without the tier.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -24,15 +24,15 @@
 	return changed
 }
 
-// Roster replaces the instances by fn's result as seen from a data centre. fn
+// Roster replaces the instances by fn's result as seen from a locality. fn
 // reports false to keep them.
-func Roster(h *locks.Holder, s *table.Set, dataCentre string, fn func(roster.Roster) (roster.Roster, bool)) bool {
+func Roster(h *locks.Holder, s *table.Set, l table.Locality, fn func(roster.Roster) (roster.Roster, bool)) bool {
 	return s.UpdateDirect(h, func(d *table.Direct) *table.Direct {
 		next, ok := fn(d.Roster)
 		if !ok {
 			return nil
 		}
-		return d.WithRoster(next, dataCentre)
+		return d.WithRoster(next, l)
 	})
 }
 
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -28,8 +28,8 @@
 // Direct is what the engine needs to know for opaque flows. The zero value
 // serves one data centre.
 type Direct struct {
-	// DataCentres is the number of data centres with clients.
-	DataCentres int
+	// Locality is where the balancer runs.
+	Locality table.Locality
 	// FlowLifetime is the age at which a flow may be forgotten.
 	FlowLifetime time.Duration
 }
@@ -118,7 +118,7 @@
 
 // place sends an opening to the best instance that it was not sent to before.
 func (e *Engine) place(w *Work, now time.Time, d *table.Direct, route model.Route, s *packet.Segment, t table.Track, event string) {
-	site := query.SiteOf(e.Tables.Members(), e.Self.DataCentre, e.Direct.DataCentres)
+	site := query.SiteOf(e.Tables.Members(), e.Direct.Locality)
 	c := query.Place(d, route, s.Flow, &t, site, now)
 	if c.Backend == nil {
 		e.decide(w, now, d, s, "packet_dropped", "no_instance", c)
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -31,7 +31,7 @@
 			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 8080),
 		}})
 	}
-	return (&table.Direct{}).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), "ain")
+	return (&table.Direct{}).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), table.Locality{DataCentre: "ain"})
 }
 
 func flowID(i int) packet.FlowID {
@@ -103,6 +103,24 @@
 	})
 }
 
+// Guards against flows that go to another region while their own has instances.
+func TestRegionsComeInOrder(t *testing.T) {
+	l := table.Locality{DataCentre: "ain", Regions: map[string]string{"ain": "casa", "sidi": "casa", "ikeja": "lagos"}}
+	site := SiteOf(member.View{}, l)
+	for _, c := range []struct {
+		name string
+		d    *table.Direct
+		want string
+	}{
+		{"own region", view("sidi", "ikeja", "ikeja", "ikeja"), "sidi"},
+		{"no other", view("ikeja"), "ikeja"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			shareIs(t, place(t, c.d.WithRoster(c.d.Roster, l), orders, site, placeStart, 50), c.want, 1, 1)
+		})
+	}
+}
+
 // Guards against an overloaded data centre beside idle ones: 1.8 of 2 slots are
 // busy by this and the other balancer's requests.
 func TestBusyDataCentreSpillsOver(t *testing.T) {
@@ -154,7 +172,7 @@
 	d := view("ain", "ain")
 	place(t, d, orders, Site{DataCentres: 1, Balancers: 1}, placeStart, 100)
 	added := model.InstanceChange{Instance: model.Instance{ID: 9, Name: "i-9", Service: "desk", DataCentre: "ain", Slots: 2, Endpoint: netip.MustParseAddrPort("10.0.0.9:8080")}}
-	d = d.WithRoster(d.Roster.WithChanges(placeStart, []model.InstanceChange{added}, 2), "ain")
+	d = d.WithRoster(d.Roster.WithChanges(placeStart, []model.InstanceChange{added}, 2), table.Locality{DataCentre: "ain"})
 	b, _ := d.Backend(9)
 	if n := b.State.Placed(); n != 50 {
 		t.Errorf("a new instance starts with %d placed flows, want the mean of 50", n)
@@ -173,7 +191,7 @@
 	}
 	address := flowID(0).Address
 	routing := model.Routing{Revision: 1}.WithRoutes([]model.Route{{Address: address, Shares: orders.Shares}})
-	d := (&table.Direct{}).WithRouting(routing).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), "ain")
+	d := (&table.Direct{}).WithRouting(routing).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), table.Locality{DataCentre: "ain"})
 	s := &packet.Segment{Flow: flowID(0), Token: table.Token(first)}
 	if got, ok := Resolve(d, s, table.Track{}, false).(TargetUnknown); !ok || got.Reason != "token_ambiguous" {
 		t.Errorf("an ambiguous token resolves to %+v", got)
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -37,18 +37,18 @@
 
 // Site is what a placement needs to know of the fleet.
 type Site struct {
-	// DataCentres is the number of data centres with clients.
+	// DataCentres is the number of data centres in the own region.
 	DataCentres int
 	// Balancers is the number of live balancers in the own data centre, over
 	// which its clients' packets are spread evenly; this one included.
 	Balancers int
 }
 
-// SiteOf returns the site of a balancer in a data centre.
-func SiteOf(v member.View, dataCentre string, dataCentres int) Site {
-	s := Site{DataCentres: max(1, dataCentres)}
+// SiteOf returns the site of a balancer.
+func SiteOf(v member.View, l table.Locality) Site {
+	s := Site{DataCentres: l.Peers()}
 	for _, b := range v.Balancers() {
-		if b.DataCentre == dataCentre && b.Fetch.IsValid() {
+		if b.DataCentre == l.DataCentre && b.Fetch.IsValid() {
 			s.Balancers++
 		}
 	}
@@ -71,14 +71,17 @@
 	if c := p.choose("any", true, g.Local, g.Remote); c.Backend != nil {
 		return c
 	}
-	if c := p.choose("doubtful", false, g.Local, g.Remote); c.Backend != nil {
+	if c := p.choose("far", true, g.Far); c.Backend != nil {
+		return c
+	}
+	if c := p.choose("doubtful", false, g.Local, g.Remote, g.Far); c.Backend != nil {
 		return c
 	}
 	if c := p.choose("lapsed", false, g.Lapsed); c.Backend != nil {
 		return c
 	}
 	p.tried = &table.Track{}
-	return p.choose("again", false, g.Local, g.Remote, g.Lapsed)
+	return p.choose("again", false, g.Local, g.Remote, g.Far, g.Lapsed)
 }
 
 // servesLocally reports whether a flow stays in its own data centre; draw is
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -24,11 +24,12 @@
 
 // Group is the instances of one service that new flows may be sent to.
 type Group struct {
-	// Local and Remote are ready instances of the own and of other data centres.
-	Local, Remote []*Backend
+	// Local and Remote are ready instances of the own and of the other data
+	// centres of the region, Far those of other regions.
+	Local, Remote, Far []*Backend
 	// Lapsed are those that have vanished from the list and may be back.
 	Lapsed []*Backend
-	// LocalSlots and Slots are the slots of Local, and of Local and Remote.
+	// LocalSlots and Slots are the slots of Local, and of the region.
 	LocalSlots, Slots int
 }
 
@@ -100,8 +101,33 @@
 	return &next
 }
 
-// WithRoster returns a view of other instances, as seen from a data centre.
-func (d *Direct) WithRoster(r roster.Roster, dataCentre string) *Direct {
+// Locality is where a balancer runs. The zero value takes all data centres as
+// others of its own region.
+type Locality struct {
+	DataCentre string
+	// Regions gives the region of each data centre; never modified. A data centre
+	// that it lacks counts as one of the own region.
+	Regions map[string]string
+}
+
+// Peers returns the number of data centres in the own region, at least 1.
+func (l Locality) Peers() int {
+	n := 0
+	for dc := range l.Regions {
+		if l.near(dc) {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+func (l Locality) near(dataCentre string) bool {
+	region, ok := l.Regions[dataCentre]
+	return !ok || region == l.Regions[l.DataCentre]
+}
+
+// WithRoster returns a view of other instances, as seen from a locality.
+func (d *Direct) WithRoster(r roster.Roster, l Locality) *Direct {
 	members := r.Members()
 	next := &Direct{
 		Routing: d.Routing, Roster: r,
@@ -117,7 +143,7 @@
 			g = &Group{}
 			next.groups[m.Instance.Service] = g
 		}
-		g.add(b, m.Instance.DataCentre == dataCentre)
+		g.add(b, l)
 	}
 	return next
 }
@@ -140,7 +166,7 @@
 // given of late.
 func (g *Group) meanPlaced(dataCentre string) int32 {
 	sum, n := int32(0), int32(0)
-	for _, set := range [][]*Backend{g.Local, g.Remote} {
+	for _, set := range [][]*Backend{g.Local, g.Remote, g.Far} {
 		for _, b := range set {
 			if b.Instance.DataCentre == dataCentre {
 				sum += b.State.Placed()
@@ -154,22 +180,30 @@
 	return sum / n
 }
 
-func (g *Group) add(b *Backend, local bool) {
+func (g *Group) add(b *Backend, l Locality) {
 	switch b.Status {
 	case roster.StatusReady:
-		g.Slots += b.Instance.Slots
-		if local {
-			g.Local = append(g.Local, b)
-			g.LocalSlots += b.Instance.Slots
-		} else {
-			g.Remote = append(g.Remote, b)
-		}
+		g.addReady(b, l)
 	case roster.StatusLapsed:
 		g.Lapsed = append(g.Lapsed, b)
 	case roster.StatusDraining, roster.StatusUnreadable, roster.StatusGone:
 	}
 }
 
+func (g *Group) addReady(b *Backend, l Locality) {
+	switch dc := b.Instance.DataCentre; {
+	case dc == l.DataCentre:
+		g.Local = append(g.Local, b)
+		g.LocalSlots += b.Instance.Slots
+		g.Slots += b.Instance.Slots
+	case l.near(dc):
+		g.Remote = append(g.Remote, b)
+		g.Slots += b.Instance.Slots
+	default:
+		g.Far = append(g.Far, b)
+	}
+}
+
 // Direct returns the view of opaque flows in force; never nil.
 func (s *Set) Direct() *Direct {
 	if d := s.direct.Load(); d != nil {
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -23,6 +23,7 @@
 	"egretdock/core/input"
 	"egretdock/core/locks"
 	"egretdock/core/model"
+	"egretdock/core/table"
 	"egretdock/core/worker"
 	"egretdock/io/admin"
 	"egretdock/io/dgram"
@@ -101,7 +102,10 @@
 		Name: s.Name, DataCentre: s.DataCentre, Incarnation: uint64(time.Now().UnixNano()),
 		Peer: s.Peer, Fetch: s.Peer,
 	}
-	a.engine.Direct = engine.Direct{DataCentres: len(s.DataCentres), FlowLifetime: s.FlowLifetime}
+	a.engine.Direct = engine.Direct{
+		FlowLifetime: s.FlowLifetime,
+		Locality:     table.Locality{DataCentre: s.DataCentre, Regions: s.Regions},
+	}
 	var ctx context.Context
 	ctx, a.closeQueue = context.WithCancel(context.Background())
 	a.queue = worker.NewQueue(ctx, queueLength)
