--- a/core/cmds/observe.go
+++ b/core/cmds/observe.go
@@ -57,3 +57,9 @@
 func Remember(h *locks.Holder, now time.Time, s *table.Set, k table.FlowKey, r packet.Route) bool {
 	return s.Flows.Put(h, now, k, &r)
 }
+
+// ForgetRoute removes the cached route of a flow that the upstream at an endpoint
+// has reset.
+func ForgetRoute(h *locks.Holder, s *table.Set, k table.FlowKey, endpoint netip.AddrPort) {
+	s.Flows.Drop(h, k, endpoint)
+}
--- a/core/engine/fault_test.go
+++ b/core/engine/fault_test.go
@@ -198,6 +198,23 @@
 	wantRuns(t, m, f, 1, 1)
 }
 
+// Guards against a cached route that outlives the flow: packets would go to an
+// upstream that has reset the flow until the route is idle.
+func TestResetDropsCachedRoute(t *testing.T) {
+	m := newMemory(t, 1, 4)
+	f := m.flow(planAddr)
+	f.noToken = true
+	f.mustOpen(0)
+	f.send(0, &packet.Data{Seq: 1})
+	wantBody[*packet.Ack](t, f)
+	f.upstream().restart()
+	f.send(0, &packet.Data{Seq: 2})
+	wantBody[*packet.Reset](t, f)
+	if n := m.balancers[0].Tables.Flows.Len(holder()); n != 0 {
+		t.Errorf("%d cached routes after the reset, want none", n)
+	}
+}
+
 // Guards against an opening that is refused although another upstream would
 // take it.
 func TestOpeningTriesNextCandidate(t *testing.T) {
--- a/core/table/flows.go
+++ b/core/table/flows.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"net/netip"
 	"time"
 
 	"egretdock/core/locks"
@@ -93,6 +94,17 @@
 	return true
 }
 
+// Drop removes the cached route of a flow if it leads to an endpoint, whichever
+// incarnation it names.
+func (f *Flows) Drop(h *locks.Holder, k FlowKey, endpoint netip.AddrPort) {
+	s := f.shard(k)
+	s.mu.Lock(h, locks.RankFlows)
+	defer s.mu.Unlock(h, locks.RankFlows)
+	if e, ok := s.m[k]; ok && e.route.Endpoint == endpoint {
+		delete(s.m, k)
+	}
+}
+
 // Len returns the number of cached routes.
 func (f *Flows) Len(h *locks.Holder) int {
 	n := 0
