Survive the end of the log's reader; look for new seeds on reload

Cause: a write to a closed standard output ends a Go process by SIGPIPE. A setting that nothing read is gone.

--- a/io/emul/soak/balancer.go
+++ b/io/emul/soak/balancer.go
@@ -53,7 +53,6 @@
 memory_mb = 206
 [bounds]
 grace_s = 6
-drain_ms = 3000
 [platform]
 address = %q
 `
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -92,6 +94,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Without this the end of the log's reader would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	a := &App{settings: s, opts: o, async: logs.NewAsync(os.Stdout)}
 	logs.SetOutput(a.async)
--- a/io/front/reload.go
+++ b/io/front/reload.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"egretdock/core/effect"
+	"egretdock/core/input"
 	"egretdock/platform"
 )
 
@@ -37,9 +38,9 @@
 	}
 }
 
-// reload compares the settings file with what is known. Addresses and limits
-// are those of the start, since the platform restarts a process whose host
-// changes; a change is logged so that an operator sees it.
+// reload compares the settings file with what is known. New seeds are looked for
+// at once. Addresses and limits are those of the start, since the platform
+// restarts a process whose host changes.
 func (a *App) reload(known platform.Settings, asked bool) platform.Settings {
 	next, err := platform.ReadSettings(a.opts.Path)
 	if err != nil {
@@ -50,7 +51,8 @@
 	if changed || asked {
 		ev := effect.Event{Name: "settings_read", Detail: "changed=false"}
 		if changed {
-			ev.Detail = "changed=true action=at_next_start"
+			ev.Detail = "changed=true in_force=seeds at_next_start=rest"
+			a.queue.Push(&input.Hosts{Balancers: seeds(next)})
 		}
 		a.event(ev)
 	}
