Keep flows of lapsed instances longer than their new flows; late openings

Cause, by reading: entries are back two seconds after the store's return, and a reader's pause of 400 ms, its answer and the way to its peers leave 100 ms of the 2.5 s after which flows were reset. New flows still end at 2.5 s, flows are reset after 4 s. An entry of another writer that names a live instance's address made that instance count as gone; it does now only once its own entry has vanished. A first copy of an opening that comes late moved an open flow.

--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -19,6 +19,9 @@
 	// client and one to the instance, at most 15 ms between data centres of one
 	// region; the client's own next copy follows after 200 ms.
 	hedgeAfter = 40 * time.Millisecond
+	// openingTime is how long an opening belongs to the flow that it opened: a
+	// client gives up after 1.4 s and uses another port for its next try.
+	openingTime = 2 * time.Second
 	// resetConfirmed is the age up to which the store's confirmation of the
 	// routes allows to reset the opening of an unknown address: a route that was
 	// added since may not be refused for longer than the bound for configuration.
@@ -93,7 +96,7 @@
 		}
 		t.Copy = s.Copy
 		e.place(w, now, d, route, s, t, "flow_retried")
-	case tracked && (t.State == table.TrackOpening || s.Copy > 0):
+	case tracked && (t.State == table.TrackOpening || s.Copy > 0 || now.Sub(t.Opened) < openingTime):
 		// A duplicate, or a copy that the flow's instance has already answered.
 		if b, ok := d.Backend(t.Instance); ok {
 			e.send(w, s, b)
--- a/core/engine/direct_test.go
+++ b/core/engine/direct_test.go
@@ -315,7 +315,7 @@
 	o := f.flow(deskAddress)
 	id := o.mustOpen()
 	f.change(model.ChangeRemoved, one(id, "ain"))
-	f.pass(roster.LapseGrace - time.Millisecond)
+	f.pass(roster.GoneAfter - time.Millisecond)
 	f.give(&input.Tick{})
 	if got := deliveredTo(t, o.data(10)); got != id {
 		t.Errorf("packet reaches instance %d, want the lapsed %d", got, id)
@@ -329,7 +329,33 @@
 func TestAllLapsed(t *testing.T) {
 	f := newServing(t)
 	f.listed()
+	f.pass(roster.LapseGrace - time.Millisecond)
 	deliveredTo(t, f.flow(deskAddress).open(0))
+	t.Run("not once they count as departed", func(t *testing.T) {
+		f.pass(time.Millisecond)
+		isDropped(t, f.flow(deskAddress).open(0), "no_instance")
+	})
+}
+
+// Guards against a copy of an opening that the network has delayed or doubled
+// and that takes an open flow away from its instance.
+func TestLateOpening(t *testing.T) {
+	for name, number := range map[string]uint32{"first copy": 0, "second copy": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newServing(t)
+			o := f.flow(deskAddress)
+			id := o.mustOpen()
+			for range 3 {
+				f.pass(300 * time.Millisecond)
+				if got := deliveredTo(t, o.open(number)); got != id {
+					t.Errorf("late opening goes to instance %d, the flow is open at %d", got, id)
+				}
+				if got := deliveredTo(t, o.data(10)); got != id {
+					t.Errorf("packet goes to instance %d, the flow is open at %d", got, id)
+				}
+			}
+		})
+	}
 }
 
 func TestRemovedRoute(t *testing.T) {
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -7,6 +7,7 @@
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/rank"
+	"egretdock/core/roster"
 	"egretdock/core/table"
 )
 
@@ -165,7 +166,7 @@
 	var score uint64
 	for _, set := range sets {
 		for _, b := range set {
-			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Judged().Doubtful(p.now) {
+			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Judged().Doubtful(p.now) || p.expired(b) {
 				continue
 			}
 			c.Candidates++
@@ -178,6 +179,12 @@
 	return c
 }
 
+// expired reports whether an instance has been off the list for too long to get
+// new flows.
+func (p *placement) expired(b *table.Backend) bool {
+	return b.Status == roster.StatusLapsed && p.now.Sub(b.Since) >= roster.LapseGrace
+}
+
 // warmupPenalty counts the flows of an instance in its slow start this many
 // times while its latency is not known.
 const warmupPenalty = 2
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,10 +10,15 @@
 )
 
 const (
-	// LapseGrace is how long an entry that vanished without draining still
-	// counts. Entries lapse while the store is away and are written again within
-	// about two seconds of its return.
+	// LapseGrace is how long an instance whose entry vanished without draining may
+	// still get new flows. Entries lapse while the store is away and are written
+	// again within about two seconds of its return; a departed instance must get
+	// no new flow after three.
 	LapseGrace = 2500 * time.Millisecond
+	// GoneAfter is how long it keeps its flows. Above LapseGrace by the time in
+	// which news of a returned entry travel: a pause of the reader, a slow answer
+	// and a peer's.
+	GoneAfter = 4 * time.Second
 	// KeepGone is how long an instance that left is remembered, so that its
 	// flows can be told from flows of an unknown one. Flows live a minute.
 	KeepGone = 70 * time.Second
@@ -147,7 +152,7 @@
 	var e *edit
 	for id, m := range r.members {
 		age := now.Sub(m.Since)
-		lapsed := m.Status == StatusLapsed && age >= LapseGrace
+		lapsed := m.Status == StatusLapsed && age >= GoneAfter
 		forgotten := m.Status == StatusGone && age >= KeepGone
 		if !lapsed && !forgotten {
 			continue
@@ -219,14 +224,25 @@
 		m.Since = old.Since
 	}
 	e.next[in.ID] = m
-	// An address has one holder: the instance that had it before has ended.
 	for id, o := range e.next {
-		if id != in.ID && o.Status != StatusGone && o.Instance.Endpoint == in.Endpoint && o.Instance.Revision < in.Revision {
+		if o.Status == StatusLapsed && e.replaced(o) {
 			e.set(id, StatusGone)
 		}
 	}
 }
 
+// replaced reports whether the address of an instance was given to another one
+// since. While an entry is there its instance counts as the holder, since an
+// entry of another writer may name any address.
+func (e *edit) replaced(m Member) bool {
+	for id, o := range e.next {
+		if id != m.Instance.ID && o.Status == StatusReady && o.Instance.Endpoint == m.Instance.Endpoint && o.Instance.Revision > m.Instance.Revision {
+			return true
+		}
+	}
+	return false
+}
+
 // remove handles the end of an entry. One that drained has left; any other may
 // have lapsed while the store was away.
 func (e *edit) remove(id uint64) {
@@ -236,7 +252,11 @@
 	}
 	switch m.Status {
 	case StatusReady, StatusUnreadable:
-		e.set(id, StatusLapsed)
+		if e.replaced(m) {
+			e.set(id, StatusGone)
+		} else {
+			e.set(id, StatusLapsed)
+		}
 	case StatusDraining:
 		e.set(id, StatusGone)
 	case StatusLapsed, StatusGone:
