Keep flows of an instance whose draining entry lapses with the store

Cause, by reading: entries lapse while the store is away, those of draining instances too; their removal at the store's return was taken for the end of an instance that may still serve, and its flows were reset at once. Within GoneAfter of the return such an instance is departing: no new flows, and its flows are reset after GoneAfter only. TestDraining fails without it.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -39,11 +39,15 @@
 	// StatusLapsed has vanished without draining. It may be back soon, and gets
 	// new flows only when nothing else is left.
 	StatusLapsed
+	// StatusDeparting drained and vanished just after the store was away, when the
+	// entry of an instance that still serves may be missing. It keeps its flows
+	// and gets no new ones.
+	StatusDeparting
 	// StatusGone has left; its flows are lost.
 	StatusGone
 )
 
-var statusNames = [...]string{StatusReady: "ready", StatusDraining: "draining", StatusUnreadable: "unreadable", StatusLapsed: "lapsed", StatusGone: "gone"}
+var statusNames = [...]string{StatusReady: "ready", StatusDraining: "draining", StatusUnreadable: "unreadable", StatusLapsed: "lapsed", StatusDeparting: "departing", StatusGone: "gone"}
 
 // String returns the status in snake case.
 func (s Status) String() string {
@@ -71,6 +75,8 @@
 	Revision uint64
 	// Away is true while the store does not answer. Nothing lapses meanwhile.
 	Away bool
+	// Returned is when the store last began to answer after it had been away.
+	Returned time.Time
 	// Floor is the highest Changed of the members that were forgotten.
 	Floor uint64
 
@@ -133,9 +139,10 @@
 	if away {
 		return r
 	}
+	r.Returned = now
 	e := r.edit(now, r.Revision)
 	for id, m := range e.next {
-		if m.Status == StatusLapsed {
+		if m.Status == StatusLapsed || m.Status == StatusDeparting {
 			m.Since = now
 			e.next[id] = m
 		}
@@ -152,7 +159,7 @@
 	var e *edit
 	for id, m := range r.members {
 		age := now.Sub(m.Since)
-		lapsed := m.Status == StatusLapsed && age >= GoneAfter
+		lapsed := (m.Status == StatusLapsed || m.Status == StatusDeparting) && age >= GoneAfter
 		forgotten := m.Status == StatusGone && age >= KeepGone
 		if !lapsed && !forgotten {
 			continue
@@ -258,8 +265,12 @@
 			e.set(id, StatusLapsed)
 		}
 	case StatusDraining:
-		e.set(id, StatusGone)
-	case StatusLapsed, StatusGone:
+		if e.roster.Away || e.now.Sub(e.roster.Returned) < GoneAfter {
+			e.set(id, StatusDeparting)
+		} else {
+			e.set(id, StatusGone)
+		}
+	case StatusLapsed, StatusDeparting, StatusGone:
 	}
 }
 
@@ -283,7 +294,7 @@
 		case StatusReady, StatusDraining:
 		case StatusUnreadable:
 			c.Kind = model.ChangeUnreadable
-		case StatusLapsed, StatusGone:
+		case StatusLapsed, StatusDeparting, StatusGone:
 			if whole {
 				continue
 			}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -95,6 +95,17 @@
 	r := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{draining(instance(1, 11))}, 11)
 	hasStatus(t, r, 1, StatusDraining)
 	hasStatus(t, r.WithChanges(start, []model.InstanceChange{removed(1)}, 12), 1, StatusGone)
+	// Guards against resets of an instance that still serves, when its entry has
+	// lapsed while the store was away.
+	t.Run("just after the store was away", func(t *testing.T) {
+		back := r.WithStore(start, true).WithList(start, nil, 12)
+		hasStatus(t, back, 1, StatusDeparting)
+		back = back.WithStore(start, false)
+		hasStatus(t, after(t, back, GoneAfter-1), 1, StatusDeparting)
+		hasStatus(t, after(t, back, GoneAfter), 1, StatusGone)
+		again := back.WithChanges(start, []model.InstanceChange{draining(instance(1, 13))}, 13)
+		hasStatus(t, again, 1, StatusDraining)
+	})
 }
 
 // Guards against flows that stay silent although their instance's address has
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -186,7 +186,7 @@
 		g.addReady(b, l)
 	case roster.StatusLapsed:
 		g.Lapsed = append(g.Lapsed, b)
-	case roster.StatusDraining, roster.StatusUnreadable, roster.StatusGone:
+	case roster.StatusDraining, roster.StatusUnreadable, roster.StatusDeparting, roster.StatusGone:
 	}
 }
 
