Write the platform's objects and settings in one place

Stand-ins wrote the platform's names themselves. platform/ encodes what it decodes, and tests compare both ways. Runs of the soak beside each other use other loopback addresses.

--- a/io/emul/opaq/upstream.go
+++ b/io/emul/opaq/upstream.go
@@ -21,9 +21,8 @@
 // Upstream is one instance. Requests take no time; each payload is answered
 // with the same payload.
 type Upstream struct {
-	// ID, Name and Service are those of its entry in the store.
+	// ID and Service are those of its entry in the store.
 	ID      uint64
-	Name    string
 	Service string
 	// Port is the port at which clients receive.
 	Port uint16
--- a/io/emul/soak/balancer.go
+++ b/io/emul/soak/balancer.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"egretdock/platform"
 )
 
 // ports are the same on all hosts of a run.
@@ -38,33 +40,31 @@
 	missed int
 }
 
-const settingsForm = `node_id = %q
-ip = %q
-zone = %q
-internal_ports = [%d, %d]
-seed_nodes = [%q]
-[zones]
-z1 = "r"
-z2 = "r"
-[listen_addrs]
-datagram_addr = "%s:%d"
-ready = "%s:%d"
-[limits]
-memory_mb = 206
-[bounds]
-grace_s = 6
-[platform]
-address = %q
-`
-
 // writeSettings writes the settings file that the platform would place.
 func (b *balancer) writeSettings(dir string, seed netip.Addr) error {
+	store, err := netip.ParseAddrPort(b.store.addr())
+	if err != nil {
+		return errors.Wrap(err, "address of the proxy")
+	}
+	text, err := platform.FormatSettings(platform.Settings{
+		Name: b.name, DataCentre: b.dataCentre, Regions: map[string]string{dataCentre(0): "r", dataCentre(1): "r"},
+		Packets: netip.AddrPortFrom(b.ip, b.ports.packets), Probe: netip.AddrPortFrom(b.ip, b.ports.probe),
+		Peer: netip.AddrPortFrom(b.ip, b.ports.peer), Seeds: []netip.AddrPort{netip.AddrPortFrom(seed, b.ports.peer)},
+		Store: store, Grace: graceLimit, FlowLifetime: flowLifetime, MemoryBytes: memoryLimit,
+	})
+	if err != nil {
+		return err
+	}
 	b.settings = filepath.Join(dir, b.name+".toml")
-	text := fmt.Sprintf(settingsForm, b.name, b.ip, b.dataCentre, b.ports.peer, b.ports.peer+9,
-		netip.AddrPortFrom(seed, 1).String(), b.ip, b.ports.packets, b.ip, b.ports.probe, b.store.addr())
-	return os.WriteFile(b.settings, []byte(text), 0o600)
+	return os.WriteFile(b.settings, text, 0o600)
 }
 
+// flowLifetime and memoryLimit are those of the users' hosts.
+const (
+	flowLifetime = time.Minute
+	memoryLimit  = 206 << 20
+)
+
 func (b *balancer) start() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/io/emul/soak/faults.go
+++ b/io/emul/soak/faults.go
@@ -131,12 +131,12 @@
 		return
 	}
 	w.mu.Lock()
-	w.register(u, "draining")
 	u.drained = time.Now()
+	w.register(u)
 	w.mu.Unlock()
 	// It serves its flows for the bound and somewhat longer.
 	loop.Sleep(ctx, drainLimit+d.wait)
-	w.store.Delete("servers", u.Name)
+	w.unregister(u)
 }
 
 // crash lets an instance go silent; its entry lapses after three heartbeats of
@@ -151,7 +151,7 @@
 	w.mu.Unlock()
 	u.SetDeaf(true)
 	loop.Sleep(ctx, 3*770*time.Millisecond)
-	w.store.Delete("servers", u.Name)
+	w.unregister(u)
 	if err := w.addInstance(u.Service, u.dataCentre); err != nil {
 		w.broke("harness: %v", err)
 	}
--- a/io/emul/soak/log_test.go
+++ b/io/emul/soak/log_test.go
@@ -15,7 +15,7 @@
 		t.Fatal(err)
 	}
 	defer store.close()
-	ip := netip.MustParseAddr("127.9.9.1")
+	ip := netip.AddrFrom4([4]byte{127, network(9), 9, 1})
 	b := &balancer{name: "b1", dataCentre: "z1", ip: ip, ports: ports{19800, 19801, 19802}, store: store}
 	if err := b.writeSettings(t.TempDir(), ip); err != nil {
 		t.Fatal(err)
--- a/io/emul/soak/world.go
+++ b/io/emul/soak/world.go
@@ -18,10 +18,12 @@
 
 	"github.com/go-faster/errors"
 
+	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/rank"
 	"egretdock/io/emul/objs"
 	"egretdock/io/emul/opaq"
+	"egretdock/platform"
 )
 
 // service is one service of the run.
@@ -39,7 +41,8 @@
 type instance struct {
 	*opaq.Upstream
 	dataCentre string
-	revision   int
+	// reports counts the writes of its entry.
+	reports uint64
 	// drained is when the store accepted that it drains; zero before.
 	drained time.Time
 	// lost is when it went silent; zero before.
@@ -60,7 +63,7 @@
 	mu        sync.Mutex
 	instances []*instance
 	nextID    uint64
-	version   int
+	version   uint64
 	extra     bool
 	// unrest is when the last unplanned fault ended, or a time in the future
 	// while one lasts.
@@ -78,7 +81,7 @@
 func newWorld(o Options) (*world, error) {
 	w := &world{
 		opts: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), store: &objs.Store{},
-		network: byte(10 + o.Seed%200), report: Report{Seed: o.Seed, Served: map[string]int{}, Failed: map[string]int{}},
+		network: network(o.Seed), report: Report{Seed: o.Seed, Served: map[string]int{}, Failed: map[string]int{}},
 	}
 	base := uint16(20000 + o.Seed%2000*10)
 	w.ports = ports{packets: base, probe: base + 1, peer: base + 2}
@@ -102,6 +105,10 @@
 	return w, nil
 }
 
+// network returns a byte of the loopback range that runs beside this one are
+// unlikely to use.
+func network(seed uint64) byte { return byte(10 + (seed+uint64(os.Getpid()))%200) }
+
 // instancesEach is the number of instances of a service, over both data
 // centres.
 const instancesEach = 4
@@ -133,23 +140,33 @@
 	defer w.mu.Unlock()
 	w.nextID++
 	u := &instance{dataCentre: dc, Upstream: &opaq.Upstream{
-		ID: w.nextID, Name: fmt.Sprintf("i-%08x", w.nextID), Service: service, Port: w.ports.packets,
+		ID: w.nextID, Service: service, Port: w.ports.packets,
 	}}
 	if err := u.Start(netip.AddrPortFrom(w.addr(3, byte(w.nextID%250+1)), 0)); err != nil {
 		return err
 	}
 	w.instances = append(w.instances, u)
-	w.register(u, "ready")
+	w.register(u)
 	return nil
 }
 
 // register writes the entry of an instance; mu is held.
-func (w *world) register(u *instance, state string) {
-	u.revision++
-	w.store.Put("servers", u.Name, map[string]any{
-		"service": u.Service, "address": u.Addr().String(), "zone": u.dataCentre, "slots": 2,
-		"state": state, "warmup_left_ms": 0, "sequence": u.revision,
-	})
+func (w *world) register(u *instance) {
+	u.reports++
+	o := u.entry()
+	w.store.Put(o.Kind, o.Name, o.Spec)
+}
+
+// unregister removes the entry of an instance.
+func (w *world) unregister(u *instance) {
+	o := u.entry()
+	w.store.Delete(o.Kind, o.Name)
+}
+
+func (u *instance) entry() platform.Object {
+	return platform.InstanceObject(model.Instance{
+		ID: u.ID, Service: u.Service, DataCentre: u.dataCentre, Endpoint: u.Addr(), Slots: 2, Draining: !u.drained.IsZero(),
+	}, u.reports)
 }
 
 // extraAddress has a route only while the run's configuration says so.
@@ -161,10 +178,9 @@
 	defer w.mu.Unlock()
 	w.version++
 	w.extra = extra
-	type route map[string]any
-	routes := []route{}
+	var routes []model.Route
 	add := func(name string, a netip.AddrPort, service string) {
-		routes = append(routes, route{"name": name, "host": a.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", a.Port()), "route_type": "safe", "service": service})
+		routes = append(routes, model.Route{Name: name, Address: a, Idempotent: true, Shares: []model.Share{{Service: service, Weight: 1}}})
 	}
 	for _, s := range services {
 		add(s.name, s.address, s.name)
@@ -172,9 +188,13 @@
 	if extra {
 		add("extra", extraAddress, services[0].name)
 	}
-	w.store.Put("config", "main", map[string]any{"version": w.version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000}})
+	o := platform.RoutingObject(w.version, routes, idleTimeout)
+	w.store.Put(o.Kind, o.Name, o.Spec)
 }
 
+// idleTimeout is that of the users' configuration.
+const idleTimeout = 15 * time.Second
+
 // pick returns the balancer that the routers choose for a flow of a data
 // centre: by rendezvous hash over those in rotation, over the whole data centre
 // when fewer than half are, and over all when none is.
