--- a/io/dgram/socket.go
+++ b/io/dgram/socket.go
@@ -98,8 +98,9 @@
 	msgs   []ipv4.Message
 	addrs  []net.UDPAddr
 	n      int
-	// failed counts datagrams that the kernel did not take.
-	failed int
+	// failed counts datagrams that the kernel did not take; reported of them are
+	// in the Counters.
+	failed, reported int
 }
 
 func newWriter(s *Socket) *writer {
