--- a/core/cmds/admit.go
+++ b/core/cmds/admit.go
@@ -30,8 +30,19 @@
 	Ejected = Unavailable - 1
 )
 
+// Room says whether a balancer takes further work.
+type Room bool
+
+// Rooms.
+const (
+	// RoomLeft takes new work.
+	RoomLeft Room = true
+	// RoomFull refuses new work; copies of work in progress pass.
+	RoomFull Room = false
+)
+
 // Open asks for a new flow at an upstream that this balancer owns.
-func Open(h *locks.Holder, now time.Time, st *table.Upstream, r input.Relay, it admit.Item, rnd *rand.Rand) Result {
+func Open(h *locks.Holder, now time.Time, st *table.Upstream, r input.Relay, it admit.Item, room Room, rnd *rand.Rand) Result {
 	st.Lock(h)
 	defer st.Unlock(h)
 	if p, ok := st.Pending[it.Key]; ok {
@@ -43,7 +54,7 @@
 	if st.Health.Ejected(now) && !r.Forced {
 		return Pass{Queue: Ejected}
 	}
-	if len(st.Pending) >= maxPending {
+	if len(st.Pending) >= maxPending || room == RoomFull {
 		return Reject{Reason: packet.ReasonOverload, RetryAfter: time.Second}
 	}
 	switch it.Class.Kind {
@@ -88,7 +99,7 @@
 // Request asks to run a request on an established flow of an upstream that
 // this balancer owns. A Reject is not final until the upstream has confirmed
 // that no copy of the request ran.
-func Request(h *locks.Holder, now time.Time, st *table.Upstream, r input.Relay, it admit.Item, rnd *rand.Rand) Result {
+func Request(h *locks.Holder, now time.Time, st *table.Upstream, r input.Relay, it admit.Item, room Room, rnd *rand.Rand) Result {
 	st.Lock(h)
 	defer st.Unlock(h)
 	if p, ok := st.Pending[it.Key]; ok {
@@ -103,7 +114,7 @@
 	if it.Class.Kind == model.KindRequest && st.Health.RefusesRequests(now) {
 		return Reject{Reason: packet.ReasonDraining}
 	}
-	if len(st.Pending) >= maxPending {
+	if len(st.Pending) >= maxPending || room == RoomFull {
 		return Reject{Reason: packet.ReasonOverload, RetryAfter: time.Second}
 	}
 	return offer(now, st, r, it, rnd)
--- a/core/cmds/finish.go
+++ b/core/cmds/finish.go
@@ -119,6 +119,8 @@
 	Dropped []Dropped
 	// Poll is true when the health endpoint should be asked.
 	Poll bool
+	// Pending is the number of entries left.
+	Pending int
 }
 
 // PollInterval is the interval between two questions to a health endpoint. A
@@ -159,6 +161,7 @@
 	if out.Poll = !now.Before(st.NextPoll); out.Poll {
 		st.NextPoll = now.Add(PollInterval)
 	}
+	out.Pending = len(st.Pending)
 	return out
 }
 
--- a/core/engine/limit_test.go
+++ b/core/engine/limit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdock/core/model"
+	"egretdock/core/input"
 	"egretdock/core/packet"
 )
 
@@ -67,3 +68,22 @@
 	}
 	return n
 }
+
+// Guards against a limit of tracked requests that nothing enforces: an owner at
+// the limit refuses new flows, and goes on with those that it has.
+func TestRequestLimit(t *testing.T) {
+	m := newMemory(t, 1, 2)
+	m.balancers[0].Tables.Requests.Limit = 1
+	f := m.flow(orderAddr).mustOpen(0)
+	f.send(0, &packet.Request{ID: 1, Attempt: 1, Timeout: time.Second})
+	m.pass(input.TickInterval)
+	again := m.flow(orderAddr)
+	again.send(0, &packet.Open{Attempt: 1, Timeout: time.Second})
+	if got := wantBody[*packet.Refuse](t, again).Reason; got != packet.ReasonOverload {
+		t.Errorf("opening at the limit is refused for %s, want %s", got, packet.ReasonOverload)
+	}
+	m.finish(f.upstream())
+	wantBody[*packet.Answer](t, f)
+	m.pass(input.TickInterval)
+	m.flow(orderAddr).mustOpen(0)
+}
--- a/core/engine/owner.go
+++ b/core/engine/owner.go
@@ -68,14 +68,14 @@
 	switch body := r.Packet.Body.(type) {
 	case *packet.Open:
 		it := item(now, b, class, r.Packet.Flow, 0, body.Timeout)
-		e.afterOpen(w, now, r, body, cmds.Open(&w.locks, now, pl.State, r, it, w.Rand))
+		e.afterOpen(w, now, r, body, cmds.Open(&w.locks, now, pl.State, r, it, e.room(), w.Rand))
 	case *packet.Request:
 		if r.Packet.Route.IsZero() && !r.Forced && !cmds.Holds(&w.locks, pl.State, r.Packet.Flow) {
 			e.seek(w, now, b, r)
 			return
 		}
 		it := item(now, b, class, r.Packet.Flow, body.ID, body.Timeout)
-		e.afterRequest(w, r, cmds.Request(&w.locks, now, pl.State, r, it, w.Rand))
+		e.afterRequest(w, r, cmds.Request(&w.locks, now, pl.State, r, it, e.room(), w.Rand))
 	case *packet.Cancel:
 		cmds.Cancel(&w.locks, pl.State, admit.Key{Flow: r.Packet.Flow, Request: body.ID})
 		w.Out.ToUpstream(r.Target, r.Packet)
@@ -163,3 +163,6 @@
 	}
 	e.toOwner(w, now, r)
 }
+
+// room reports whether this balancer takes further work as an owner.
+func (e *Engine) room() cmds.Room { return cmds.Room(!e.Tables.Requests.Full()) }
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -20,17 +20,21 @@
 	e.tickDirect(w, now)
 	o := e.Tables.Ownership()
 	e.fade(now, o)
+	pending := 0
 	for _, pl := range o.Mine {
-		if e.sweep(w, now, pl) && pl.Retired == 0 {
+		s := e.sweep(w, now, pl)
+		pending += s.Pending
+		if s.Poll && pl.Retired == 0 {
 			w.Out.Add(&effect.Poll{Upstream: pl.Upstream})
 		}
 	}
 	// Work that was admitted before the upstream got another owner.
 	for _, pl := range o.Others {
 		if pl.State.Busy() {
-			e.sweep(w, now, pl)
+			pending += e.sweep(w, now, pl).Pending
 		}
 	}
+	e.Tables.Requests.Count(pending)
 }
 
 // fadeEvery is the time in which the openings placed by this balancer lose half
@@ -60,15 +64,14 @@
 	}
 }
 
-// sweep lets time pass at one upstream and reports whether its health endpoint
-// should be asked.
-func (e *Engine) sweep(w *Work, now time.Time, pl *table.Place) bool {
+// sweep lets time pass at one upstream.
+func (e *Engine) sweep(w *Work, now time.Time, pl *table.Place) cmds.Swept {
 	s := cmds.Sweep(&w.locks, now, pl.State)
 	for _, d := range s.Dropped {
 		e.drop(w, d)
 	}
 	e.forwardAll(w, s.Forward)
-	return s.Poll
+	return s
 }
 
 // drop refuses queued work. An opening is refused outright; a request only
--- a/core/member/query.go
+++ b/core/member/query.go
@@ -60,30 +60,6 @@
 	return out
 }
 
-// LowestRevision returns the lowest of Revisions. A listed host that has not
-// reported makes it 0, because a partitioned balancer still serves.
-func (s *State) LowestRevision(dataCentre string) uint64 {
-	var lowest uint64
-	for i, a := range s.Revisions(dataCentre) {
-		if i == 0 || a.Revision < lowest {
-			lowest = a.Revision
-		}
-	}
-	return lowest
-}
-
-// Newest returns the live balancer that has reported the highest configuration
-// revision, and that revision. It reports false when no other is live.
-func (s *State) Newest() (model.Balancer, uint64, bool) {
-	var best record
-	for _, b := range s.view.balancers {
-		if r := s.records[b.Name]; r.live() && (!best.heard || r.revision > best.revision) {
-			best = r
-		}
-	}
-	return best.balancer, best.revision, best.heard
-}
-
 // Sender returns the balancer that a message speaks for and its configuration
 // revision.
 func Sender(m Message) (model.Balancer, uint64) {
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -84,15 +84,6 @@
 // Get returns the named live balancer.
 func (v View) Get(name string) (model.Balancer, bool) { return find(v.balancers, name) }
 
-// Reach returns the named balancer if packets can be sent to it: it is live or
-// leaving.
-func (v View) Reach(name string) (model.Balancer, bool) {
-	if b, ok := v.Get(name); ok {
-		return b, true
-	}
-	return find(v.leaving, name)
-}
-
 // With returns a copy in which b is added or replaces the balancer of the same
 // name.
 func (v View) With(b model.Balancer) View {
--- a/core/table/set.go
+++ b/core/table/set.go
@@ -30,6 +30,8 @@
 
 	// Flows caches routes of flows without a token.
 	Flows Flows
+	// Requests bounds the work tracked as an owner.
+	Requests Requests
 	// Tracks holds what this balancer has seen of opaque flows.
 	Tracks Tracks
 	// Probes holds packets of unknown route.
--- a/io/daemon/app.go
+++ b/io/daemon/app.go
@@ -81,7 +81,7 @@
 			Fetch: a.fetch.Addr().(*net.TCPAddr).AddrPort(),
 		},
 		Clients: s.ClientListen[0], Upstreams: s.UpstreamListen, Peers: s.PeerListen,
-		Key: s.FleetKey.Bytes(), Workers: s.Workers, Flows: s.Tables.Flows,
+		Key: s.FleetKey.Bytes(), Workers: s.Workers, Flows: s.Tables.Flows, Requests: s.Tables.Requests,
 		Events: func(e *effect.Event) {
 			a.logger.Write(*e)
 			if o.Events != nil {
