--- a/core/engine/limit_test.go
+++ b/core/engine/limit_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"egretdock/core/model"
 	"egretdock/core/input"
+	"egretdock/core/model"
 	"egretdock/core/packet"
 )
 
