Start from any live balancer when the store is away

Cause: a balancer that starts while the store is silent knew only its own reader as another source.

Ruled out: membership, which knew the others 100 to 300 ms after the start.

--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -236,3 +236,30 @@
 		t.Error("a data centre without balancers has a reader")
 	}
 }
+
+// Guards against a start that asks itself or a seed that can't be asked, or
+// asks far balancers first, and against all of a restart asking the same one.
+func TestOthers(t *testing.T) {
+	at := netip.MustParseAddrPort("10.0.0.1:7000")
+	all := []model.Balancer{{Name: "seed", DataCentre: "ain"}}
+	for i := range 20 {
+		all = append(all, model.Balancer{Name: fmt.Sprintf("ain-%d", i), DataCentre: "ain", Fetch: at},
+			model.Balancer{Name: fmt.Sprintf("sidi-%d", i), DataCentre: "sidi", Fetch: at})
+	}
+	first := make(map[string]bool)
+	for _, self := range all[1:] {
+		got := Others(member.NewView(all), self)
+		if len(got) != 39 {
+			t.Fatalf("%d others, want 39", len(got))
+		}
+		for i, b := range got {
+			if b.Name == self.Name || i < 19 && b.DataCentre != self.DataCentre {
+				t.Errorf("%s asks %s at place %d", self.Name, b.Name, i)
+			}
+		}
+		first[got[0].Name] = true
+	}
+	if len(first) < 15 {
+		t.Errorf("40 balancers ask only %d different ones first", len(first))
+	}
+}
--- a/core/query/news.go
+++ b/core/query/news.go
@@ -1,12 +1,15 @@
 package query
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"egretdock/core/member"
 	"egretdock/core/model"
+	"egretdock/core/rank"
 	"egretdock/core/table"
 )
 
@@ -62,3 +65,28 @@
 	}
 	return best, best.Name != ""
 }
+
+// Others returns the live balancers besides self that hand out news: those of
+// its data centre first, each in an order that differs from one asker to the
+// next, so that many that start at once don't all ask the same one.
+func Others(v member.View, self model.Balancer) []model.Balancer {
+	key := xxhash.Sum64String(self.Name)
+	out := make([]model.Balancer, 0, v.Len())
+	for _, b := range v.Balancers() {
+		if b.Name != self.Name && b.Fetch.IsValid() {
+			out = append(out, b)
+		}
+	}
+	order := func(b model.Balancer) (far int, score uint64) {
+		if b.DataCentre != self.DataCentre {
+			far = 1
+		}
+		return far, rank.Mix(key ^ xxhash.Sum64String(b.Name))
+	}
+	slices.SortFunc(out, func(a, b model.Balancer) int {
+		farA, scoreA := order(a)
+		farB, scoreB := order(b)
+		return cmp.Or(cmp.Compare(farA, farB), cmp.Compare(scoreA, scoreB))
+	})
+	return out
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -58,6 +58,7 @@
 	f.gate = newGate()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.followPeers(ctx) })
+	g.Go(func() error { return f.start(ctx) })
 	g.Go(func() error { return f.follow(ctx, &routes{f: f}) })
 	g.Go(func() error { return f.follow(ctx, &instances{f: f}) })
 	return g.Wait()
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -29,6 +29,8 @@
 	mu     sync.Mutex
 	reader model.Balancer
 	self   bool
+	// live are the other balancers that membership shows.
+	live []model.Balancer
 	// answer is what the reader says; nil means that it does not answer.
 	answer  *query.News
 	routing uint64
@@ -72,6 +74,12 @@
 	return b.reader, b.self
 }
 
+func (b *bench) Others() []model.Balancer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.live
+}
+
 func (b *bench) Revisions() (routing, list uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -132,6 +140,12 @@
 	}
 }
 
+func (b *bench) sees(live ...model.Balancer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.live = live
+}
+
 func (b *bench) put(id, state string) uint64 {
 	return b.store.Put("servers", id, map[string]any{
 		"service": "desk", "address": "10.0.0.1:80", "zone": "ain", "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": 1,
@@ -230,3 +244,16 @@
 		})
 	}
 }
+
+// Guards against a balancer that starts while the store is away and drops all
+// packets, although a balancer other than its reader knows the routes.
+func TestStartWithoutStore(t *testing.T) {
+	b := newBench(t, true)
+	b.store.Break(objs.FaultSilent)
+	b.waitEvent("store_reading_started")
+	b.answers(&query.News{Routing: model.Routing{Revision: 5, Version: 3}, List: 9, Whole: true})
+	b.sees(model.Balancer{Name: "neighbour"})
+	waitFor(b, "the neighbour's routes", versionIs(3))
+	waitFor(b, "the neighbour's list", listedAt(9))
+	b.waitEvent("started_from_peer")
+}
--- a/io/front/peers.go
+++ b/io/front/peers.go
@@ -79,6 +79,11 @@
 	return b, !ok || b.Name == a.settings.Name
 }
 
+// Others implements feed.Fleet.
+func (a *App) Others() []model.Balancer {
+	return query.Others(a.engine.Tables.Members(), a.engine.Self)
+}
+
 // Revisions implements feed.Fleet.
 func (a *App) Revisions() (routing, list uint64) {
 	d := a.engine.Tables.Direct()
