Ask for news without compression; one pause after changes

Ruled out: the decoding of the configuration itself, 1.1 ms, once for each reader (go test ./platform -run xxx -bench DecodeRouting).

Routes now wait as long as instances after a change before the next call.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -27,10 +27,11 @@
 	answerSlack = 500 * time.Millisecond
 	// listTimeout bounds one list call, which does not wait.
 	listTimeout = 1500 * time.Millisecond
-	// routesGroup and instancesGroup are the pauses after a change, so that one
-	// call fetches the changes that follow closely. Instances register one by one
-	// when a deployment starts, and their bound for draining is 3 s.
-	routesGroup, instancesGroup = 100 * time.Millisecond, 400 * time.Millisecond
+	// groupPause is the pause after a change, so that one call fetches the changes
+	// that follow closely: instances register one by one when a deployment starts,
+	// and edits may come several a second. The bound for configuration and for
+	// draining is 3 s.
+	groupPause = 400 * time.Millisecond
 	// retryFirst and retryMost bound the wait after a failed call; each call is
 	// paid for, refused ones too.
 	retryFirst, retryMost = 100 * time.Millisecond, time.Second
@@ -71,8 +72,6 @@
 	list(ctx context.Context) (uint64, error)
 	// watch reads what changed after a revision.
 	watch(ctx context.Context, from uint64) (uint64, error)
-	// group is the pause after a change.
-	group() time.Duration
 	// known returns a revision from which a watch misses nothing, or 0.
 	known() uint64
 	// away is told when the store stops or starts to answer.
@@ -115,7 +114,7 @@
 			}
 			if at > 0 && next > at {
 				// Changes come in groups; one call fetches those of a group.
-				loop.Sleep(ctx, s.group())
+				loop.Sleep(ctx, groupPause)
 			}
 			failed, at = 0, next
 			continue
--- a/io/feed/kinds.go
+++ b/io/feed/kinds.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"egretdock/core/effect"
 	"egretdock/core/input"
@@ -14,8 +13,6 @@
 
 func (*routes) name() string { return "routes" }
 
-func (*routes) group() time.Duration { return routesGroup }
-
 func (r *routes) list(ctx context.Context) (uint64, error) {
 	routing, at, err := r.f.Store.ReadRouting(ctx)
 	if err != nil {
@@ -47,8 +44,6 @@
 
 func (*instances) name() string { return "instances" }
 
-func (*instances) group() time.Duration { return instancesGroup }
-
 func (i *instances) list(ctx context.Context) (uint64, error) {
 	e, err := i.f.Store.ListInstances(ctx)
 	if err != nil {
--- a/io/peers/news.go
+++ b/io/peers/news.go
@@ -50,7 +50,10 @@
 // answers after wait at the latest.
 func (c *Client) WaitNews(ctx context.Context, addr netip.AddrPort, routing, list uint64, wait time.Duration) (query.News, error) {
 	call := peerpbconnect.NewNewsServiceClient(c.http, "http://"+addr.String(),
-		connect.WithInterceptors(c.auth), connect.WithReadMaxBytes(maxMessage))
+		connect.WithInterceptors(c.auth), connect.WithReadMaxBytes(maxMessage),
+		// News are a few bytes as a rule, and compression costs a small host more
+		// processor time than the transfer of a whole configuration.
+		connect.WithAcceptCompression("gzip", nil, nil))
 	res, err := call.Wait(ctx, &peerpb.WaitRequest{Routing: routing, List: list, WaitMs: uint32(wait.Milliseconds())})
 	if err != nil {
 		return query.News{}, fault.Wrap(err, fault.KindUnavailable, "balancer "+addr.String()+" hands out no news", "check the balancer and the network; the store is read instead")
--- /dev/null
+++ b/io/peers/news_test.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"egretdock/core/model"
+	"egretdock/core/query"
+	"egretdock/io/config"
+)
+
+// fixedNews hands out the same news at once.
+type fixedNews query.News
+
+func (f fixedNews) WaitNews(context.Context, uint64, uint64) query.News { return query.News(f) }
+
+// Guards against news that are compressed: connect-go asks for it by default,
+// which trebled the processor time of a question.
+func TestNewsAreNotCompressed(t *testing.T) {
+	key := config.NewKey([]byte("0123456789abcdef0123456789abcdef"))
+	_, h := NewNewsHandler(fixedNews{List: 1}, key, time.Now)
+	accepted := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		accepted <- r.Header.Get("Accept-Encoding")
+		h.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	c := NewClient(key, time.Now)
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+	if _, err := c.WaitNews(t.Context(), addr, 0, 0, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-accepted; strings.Contains(got, "gzip") {
+		t.Errorf("the question accepts %q, want no compression", got)
+	}
+}
+
+// The cost of one question for news on both ends together.
+func BenchmarkNews(b *testing.B) {
+	routes := make([]model.Route, 358)
+	for i := range routes {
+		routes[i] = model.Route{
+			Name:    fmt.Sprintf("route-%d", i),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 8080),
+			Shares:  []model.Share{{Service: "desk", Weight: 1}},
+		}
+	}
+	for name, n := range map[string]query.News{
+		"none":   {List: 1},
+		"routes": {List: 1, Routing: model.Routing{Revision: 1}.WithRoutes(routes)},
+	} {
+		b.Run(name, func(b *testing.B) {
+			key := config.NewKey([]byte("0123456789abcdef0123456789abcdef"))
+			_, h := NewNewsHandler(fixedNews(n), key, time.Now)
+			srv := httptest.NewServer(h)
+			defer srv.Close()
+			c := NewClient(key, time.Now)
+			addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+			for b.Loop() {
+				if _, err := c.WaitNews(b.Context(), addr, 0, 0, time.Second); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
