Let balancers of a data centre tell each other which instances fail

The instances accept flows in their down periods and reset the clients that send a request. A balancer sees no packet of that, and each of 35 balancers sends a request to an instance only every two or three seconds, so each found out too late, and an answer in between ended its doubt.

Three changes. A request whose answer has taken eight times the usual latency while the instance answered nothing since counts as a failure. Failures of late are remembered for some seconds and lengthen the doubt, and an instance comes back at the usual count of flows, doubled. Balancers tell the others of their data centre of failures four times a second at most; two that agree set an instance aside for 1 to 8 s, but never more than half of a service.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -3,9 +3,13 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"egretdock/core/health"
 	"egretdock/core/input"
 	"egretdock/core/locks"
+	"egretdock/core/member"
+	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/roster"
 	"egretdock/core/table"
@@ -80,6 +84,55 @@
 	return seen
 }
 
+// TrackOverdue stores that an answer has taken too long. It reports false when
+// the flow has gone on meanwhile.
+func TrackOverdue(h *locks.Holder, now time.Time, s *table.Set, f packet.FlowID) (table.Track, bool) {
+	t, ok := s.Tracks.Get(h, f)
+	if !ok || t.Asked.IsZero() || t.Overdue {
+		return t, false
+	}
+	t.Overdue = true
+	s.Tracks.Put(h, f, t)
+	if b, ok := s.Direct().Backend(t.Instance); ok {
+		b.State.Observe(h, now, health.Failed{Incarnation: t.Instance})
+	}
+	return t, true
+}
+
+// TakeFindings returns the instances that failed here since the last call; what
+// finds no room is left for the next one.
+func TakeFindings(s *table.Set) []member.Finding {
+	var out []member.Finding
+	for id, b := range s.Direct().Backends() {
+		if len(out) == member.MaxFindings {
+			break
+		}
+		if n := b.State.TakeUntold(); n > 0 {
+			out = append(out, member.Finding{Instance: id, Failures: n})
+		}
+	}
+	return out
+}
+
+// TakeTold stores what another balancer has found. It returns the instances
+// that new flows avoid from now on.
+func TakeTold(h *locks.Holder, now time.Time, s *table.Set, from model.Balancer, list []member.Finding) []*table.Backend {
+	var out []*table.Backend
+	teller := xxhash.Sum64String(from.Name)
+	for _, f := range list {
+		b, ok := s.Direct().Backend(f.Instance)
+		if !ok {
+			continue
+		}
+		before := b.State.Judged().Shunned(now)
+		b.State.Observe(h, now, health.Told{Teller: teller})
+		if !before && b.State.Judged().Shunned(now) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 // Forget removes the track of a flow that has ended.
 func Forget(h *locks.Holder, s *table.Set, f packet.FlowID) {
 	if t, ok := s.Tracks.Drop(h, f); ok {
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -40,6 +40,8 @@
 func (e *Engine) tickDirect(w *Work, now time.Time) {
 	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) { return r.WithTime(now) })
 	e.hedge(w, now)
+	e.overdue(w, now)
+	e.tell(w, now)
 	if last := e.swept.Load(); last == nil || now.Sub(*last) >= sweepEvery {
 		e.swept.Store(&now)
 		cmds.SweepTracks(&w.locks, now, &e.Tables, e.Direct.FlowLifetime)
@@ -51,8 +53,8 @@
 
 // hedge sends the openings that were not answered in time to another instance.
 func (e *Engine) hedge(w *Work, now time.Time) {
-	late := e.Tables.Tracks.Openings(&w.locks, func(t table.Track) bool {
-		return now.Sub(t.Sent) >= hedgeAfter && len(t.Tried()) == 1
+	late := e.Tables.Tracks.Waiting(&w.locks, func(t table.Track) bool {
+		return t.State == table.TrackOpening && now.Sub(t.Sent) >= hedgeAfter && len(t.Tried()) == 1
 	})
 	for _, f := range late {
 		t, ok := e.Tables.Tracks.Get(&w.locks, f)
@@ -70,6 +72,26 @@
 	}
 }
 
+// overdue notes the requests whose answer has taken too long. An instance that
+// accepts flows and answers nothing shows in no other way: it acknowledges the
+// data, or it resets the client, which then sends nothing more.
+func (e *Engine) overdue(w *Work, now time.Time) {
+	d := e.Tables.Direct()
+	late := e.Tables.Tracks.Waiting(&w.locks, func(t table.Track) bool { return query.IsOverdue(d, t, now) })
+	for _, f := range late {
+		if t, ok := cmds.TrackOverdue(&w.locks, now, &e.Tables, f); ok {
+			s := packet.Segment{Flow: f}
+			e.decide(w, now, d, &s, "answer_overdue", "waited="+now.Sub(t.Asked).String(), choiceOf(d, t.Instance))
+		}
+	}
+}
+
+// choiceOf names an instance in a report.
+func choiceOf(d *table.Direct, id uint64) query.Choice {
+	b, _ := d.Backend(id)
+	return query.Choice{Backend: b}
+}
+
 // doubt notes that an instance has left an opening unanswered.
 func (e *Engine) doubt(w *Work, now time.Time, d *table.Direct, id uint64) {
 	if b, ok := d.Backend(id); ok {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -36,6 +36,8 @@
 	faded atomic.Int64
 	// swept is when the tracked flows were last swept.
 	swept atomic.Pointer[time.Time]
+	// told is when the other balancers were last told of failures.
+	told atomic.Pointer[time.Time]
 }
 
 // Work is what one worker brings to the engine. It must not be shared between
--- a/core/engine/member.go
+++ b/core/engine/member.go
@@ -12,6 +12,10 @@
 // gossip takes in a message of the failure detector. A peer with a newer
 // configuration is asked for it.
 func (e *Engine) gossip(w *Work, now time.Time, m member.Message) {
+	if f, ok := m.(*member.Findings); ok {
+		e.takeTold(w, now, f)
+		return
+	}
 	e.updateMembers(w, now, func(s *member.State) []member.Send { return s.Receive(now, m, w.Rand) })
 	from, revision := member.Sender(m)
 	if revision > e.Tables.View().Config.Revision {
--- a/core/health/query.go
+++ b/core/health/query.go
@@ -36,10 +36,38 @@
 func (s State) Ejected(now time.Time) bool { return now.Before(s.until) }
 
 // Doubtful reports whether new flows avoid the upstream because its last
-// traffic is unanswered.
+// traffic is unanswered, or because it failed repeatedly of late.
 func (s State) Doubtful(now time.Time) bool {
 	n := s.opens + s.requests
-	return n > 0 && now.Sub(s.failed) < min(doubtFirst<<min(n-1, 8), doubtMost)
+	if s.failures >= relapse {
+		n = max(n, int(math.Round(s.failures)))
+	}
+	return n > 0 && now.Sub(s.failed) < doubtTime(n)
+}
+
+// Shunned reports whether new flows avoid the upstream because several balancers
+// have seen it fail.
+func (s State) Shunned(now time.Time) bool {
+	return !s.confirmed.IsZero() && now.Sub(s.confirmed) < doubtTime(max(1, int(math.Round(s.failures))))
+}
+
+func doubtTime(failures int) time.Duration {
+	return min(doubtFirst<<min(failures-1, 8), doubtMost)
+}
+
+// Recovering reports whether the upstream failed of late, so that new flows
+// come back to it slowly.
+func (s State) Recovering(now time.Time) bool { return s.failuresAt(now) >= recovered }
+
+// recovered is the number of failures of late below which an upstream counts as
+// well again: a single failure is forgotten after 5 s.
+const recovered = 0.5
+
+func (s State) failuresAt(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return s.failures * math.Exp2(-float64(now.Sub(s.counted))/float64(failureHalf))
 }
 
 // Latency returns the mean time of recent answers, or 0 when there were none.
@@ -50,6 +78,9 @@
 	return s.latency
 }
 
+// AnsweredSince reports whether the upstream has answered a request after t.
+func (s State) AnsweredSince(t time.Time) bool { return s.answered.After(t) }
+
 // Concurrency returns the mean number of requests in progress of late: time
 // taken per time passed.
 func (s State) Concurrency(now time.Time) float64 {
--- a/core/health/signal.go
+++ b/core/health/signal.go
@@ -50,9 +50,17 @@
 	Opening bool
 }
 
+// Told means that the upstream failed at another balancer. One that nobody else
+// confirms changes nothing, since the fault may be that balancer's.
+type Told struct {
+	// Teller identifies the balancer; never 0.
+	Teller uint64
+}
+
 func (Report) signal()   {}
 func (HostList) signal() {}
 func (Accepted) signal() {}
 func (Answered) signal() {}
 func (Refused) signal()  {}
 func (Failed) signal()   {}
+func (Told) signal()     {}
--- a/core/health/state.go
+++ b/core/health/state.go
@@ -29,6 +29,16 @@
 	// upstream after a failure of passing traffic; it doubles with each failure
 	// in a row. One lost packet costs doubtFirst at one balancer.
 	doubtFirst, doubtMost = time.Second, 8 * time.Second
+	// failureHalf keeps the failures of an upstream that goes down and up every
+	// few seconds in mind, and forgets a single one within some ten seconds.
+	failureHalf = 5 * time.Second
+	// tellTime is how long a failure at one balancer may confirm that at another:
+	// balancers tell each other four times a second, and one of 35 sends a request
+	// to each of 30 instances every two or three seconds.
+	tellTime = 3 * time.Second
+	// relapse is the number of failures of late from which a success does not end
+	// the doubt; one lost packet must not reach it.
+	relapse = 1.5
 	// latencyWeight is the weight of the newest answer in the mean latency: the
 	// last ten answers make up nine tenths of it.
 	latencyWeight = 0.2
@@ -62,6 +72,16 @@
 	opens, requests, sheds, reports int
 	// failed is the time of the last failure of passing traffic.
 	failed time.Time
+	// failures is the number of late, those that others told and somebody
+	// confirmed included, brought up to date at counted; its weight halves per
+	// failureHalf and no success resets it.
+	failures float64
+	counted  time.Time
+	// teller is the balancer that last told of a failure, and told when.
+	teller uint64
+	told   time.Time
+	// confirmed is when two balancers last agreed on a failure.
+	confirmed time.Time
 	// latency is the mean time of recent answers, and answered when the last of
 	// them came.
 	latency  time.Duration
@@ -96,6 +116,8 @@
 		if s, ok := s.withTraffic(now, sig.Incarnation); ok {
 			return s.withRefusal(now, sig)
 		}
+	case Told:
+		return s.withTold(now, sig)
 	case Failed:
 		// A failure never proves an incarnation, but counts while none is known.
 		if sig.Incarnation == s.incarnation || sig.Incarnation == 0 || s.incarnation == 0 {
@@ -231,6 +253,7 @@
 	} else {
 		s.requests++
 	}
+	s = s.withCounted(now)
 	s.failed = now
 	if max(s.opens, s.requests) >= failLimit {
 		s = s.withEjection(now, false)
@@ -238,6 +261,24 @@
 	return s
 }
 
+func (s State) withCounted(now time.Time) State {
+	s.failures, s.counted = s.failuresAt(now)+1, now
+	return s
+}
+
+// withTold counts a failure elsewhere when another balancer, or this one, saw
+// one too.
+func (s State) withTold(now time.Time, t Told) State {
+	own := !s.failed.IsZero() && now.Sub(s.failed) < tellTime
+	other := s.teller != 0 && s.teller != t.Teller && now.Sub(s.told) < tellTime
+	s.teller, s.told = t.Teller, now
+	if own || other {
+		s = s.withCounted(now)
+		s.confirmed = now
+	}
+	return s
+}
+
 func (s State) withDraining(now time.Time) State {
 	if s.draining.IsZero() {
 		s.draining = now
--- a/core/member/cmds.go
+++ b/core/member/cmds.go
@@ -49,6 +49,8 @@
 		s.servePage(now, m)
 	case *Page:
 		s.readPage(now, m)
+	case *Findings:
+		// They are about instances, which the engine knows.
 	}
 	return s.flush()
 }
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -90,6 +90,26 @@
 	Next string
 }
 
+// MaxFindings is the number of findings in one message; 16 bytes each.
+const MaxFindings = 32
+
+// Finding says that an instance failed at one balancer of late.
+type Finding struct {
+	// Instance is the ID of the instance.
+	Instance uint64
+	// Failures is the number of its failures since the balancer last told; at
+	// least 1.
+	Failures uint32
+}
+
+// Findings tells the other balancers of a data centre which instances fail. It
+// changes nothing in the failure detector.
+type Findings struct {
+	Head
+	// List has at most MaxFindings entries.
+	List []Finding
+}
+
 // Send is a message on its way to another balancer. It is immutable.
 type Send struct {
 	To      model.Balancer
@@ -101,3 +121,4 @@
 func (*PingRequest) message() {}
 func (*Pull) message()        {}
 func (*Page) message()        {}
+func (*Findings) message()    {}
--- a/core/member/query.go
+++ b/core/member/query.go
@@ -75,6 +75,8 @@
 		h = m.Head
 	case *Page:
 		h = m.Head
+	case *Findings:
+		h = m.Head
 	}
 	return h.From, h.Revision
 }
--- a/core/query/direct.go
+++ b/core/query/direct.go
@@ -1,6 +1,8 @@
 package query
 
 import (
+	"time"
+
 	"egretdock/core/model"
 	"egretdock/core/packet"
 	"egretdock/core/roster"
@@ -51,6 +53,29 @@
 	return TargetBackend{Backend: b}
 }
 
+const (
+	// overdueTimes is the multiple of an instance's usual latency from which an
+	// answer is overdue: the longest requests take five times the mean, and some
+	// wait for a slot besides.
+	overdueTimes = 8
+	// overdueLeast is well above a repeat of a lost packet after 200 ms.
+	overdueLeast = 400 * time.Millisecond
+)
+
+// IsOverdue reports whether the answer to a flow's last data has taken too long
+// while its instance answered nothing else.
+func IsOverdue(d *table.Direct, t table.Track, now time.Time) bool {
+	if t.State == table.TrackOpening || t.Asked.IsZero() || t.Overdue {
+		return false
+	}
+	b, ok := d.Backend(t.Instance)
+	if !ok {
+		return false
+	}
+	judged := b.State.Judged()
+	return now.Sub(t.Asked) >= max(overdueLeast, overdueTimes*judged.Latency(now)) && !judged.AnsweredSince(t.Asked)
+}
+
 func instanceOf(d *table.Direct, route model.Route, s *packet.Segment, t table.Track, tracked bool) (*table.Backend, string) {
 	if tracked && t.State != table.TrackOpening {
 		if b, ok := d.Backend(t.Instance); ok {
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -179,6 +179,63 @@
 	}
 }
 
+// told lets two other balancers report failures of instances.
+func told(d *table.Direct, now time.Time, ids ...uint64) {
+	var h locks.Holder
+	for _, id := range ids {
+		b, _ := d.Backend(id)
+		b.State.Observe(&h, now, health.Told{Teller: 1})
+		b.State.Observe(&h, now, health.Told{Teller: 2})
+	}
+}
+
+// Guards against new flows for an instance that several balancers have seen
+// fail, and against a service that their word empties.
+func TestShunnedInstances(t *testing.T) {
+	placed := func(t *testing.T, ids ...uint64) int {
+		t.Helper()
+		d := view("ain", "ain", "ain", "ain", "sidi")
+		told(d, placeStart, ids...)
+		place(t, d, orders, Site{DataCentres: 1, Balancers: 1}, placeStart, 100)
+		n := 0
+		for _, id := range ids {
+			b, _ := d.Backend(id)
+			n += int(b.State.Placed())
+		}
+		return n
+	}
+	t.Run("half", func(t *testing.T) {
+		if n := placed(t, 1, 2); n != 0 {
+			t.Errorf("%d of 100 flows went to shunned instances, want none", n)
+		}
+	})
+	t.Run("more than half", func(t *testing.T) {
+		if n := placed(t, 1, 2, 3); n == 0 {
+			t.Error("no flow went to three shunned instances of four, want the word of others ignored")
+		}
+	})
+}
+
+// Guards against an instance that was avoided for a while and then draws every
+// new flow, since its count has faded.
+func TestRecoveringInstance(t *testing.T) {
+	d := view("ain", "ain", "ain", "ain")
+	var h locks.Holder
+	back, _ := d.Backend(1)
+	for id := uint64(2); id <= 4; id++ {
+		b, _ := d.Backend(id)
+		for range 100 {
+			b.State.CountPlaced()
+		}
+	}
+	back.State.Observe(&h, placeStart, health.Failed{Incarnation: 1})
+	now := placeStart.Add(1500 * time.Millisecond)
+	place(t, d, orders, Site{DataCentres: 1, Balancers: 1}, now, 100)
+	if n := back.State.Placed(); n > 25 {
+		t.Errorf("an instance that has just failed got %d of 100 flows, want at most its share of 25", n)
+	}
+}
+
 // Guards against two instances whose tokens are equal: a packet must not reach
 // the one that does not hold its flow.
 func TestAmbiguousToken(t *testing.T) {
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -64,6 +64,7 @@
 	g := d.Group(route.Service(hash))
 	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
 	p.base = lowest(g, now)
+	p.usual = p.meanCount(g)
 	if p.servesLocally(g, site, route.Bulk, rank.Mix(hash)) {
 		if c := p.choose("local", true, g.Local); c.Backend != nil {
 			return c
@@ -157,6 +158,8 @@
 	tried *table.Track
 	// base is the lowest known latency of the service, or 0.
 	base time.Duration
+	// usual is the mean count of the ready instances.
+	usual int
 }
 
 // choose returns the instance with the least load for its slots; among equals
@@ -165,8 +168,9 @@
 	c := Choice{Tier: tier}
 	var score uint64
 	for _, set := range sets {
+		heed := certain && p.heeds(set)
 		for _, b := range set {
-			if p.tried.HasTried(b.Instance.ID) || certain && b.State.Judged().Doubtful(p.now) || p.expired(b) {
+			if p.tried.HasTried(b.Instance.ID) || certain && p.avoids(b, heed) || p.expired(b) {
 				continue
 			}
 			c.Candidates++
@@ -179,26 +183,77 @@
 	return c
 }
 
+// avoids reports whether an instance gets no new flow while there is another;
+// heed says whether the word of other balancers counts.
+func (p *placement) avoids(b *table.Backend, heed bool) bool {
+	judged := b.State.Judged()
+	return judged.Doubtful(p.now) || heed && judged.Shunned(p.now)
+}
+
+// maxShunned is the part of a set of instances that the word of other balancers
+// may set aside: when more look ill, the load or the network is.
+const maxShunned = 0.5
+
+// heeds reports whether few enough instances are shunned to believe it.
+func (p *placement) heeds(set []*table.Backend) bool {
+	n := 0
+	for _, b := range set {
+		if b.State.Judged().Shunned(p.now) {
+			n++
+		}
+	}
+	return float64(n) <= maxShunned*float64(len(set))
+}
+
 // expired reports whether an instance has been off the list for too long to get
 // new flows.
 func (p *placement) expired(b *table.Backend) bool {
 	return b.Status == roster.StatusLapsed && p.now.Sub(b.Since) >= roster.LapseGrace
 }
 
-// warmupPenalty counts the flows of an instance in its slow start this many
-// times while its latency is not known.
-const warmupPenalty = 2
+const (
+	// warmupPenalty counts the flows of an instance in its slow start this many
+	// times while its latency is not known.
+	warmupPenalty = 2
+	// recoverPenalty does the same for an instance that failed of late.
+	recoverPenalty = 2
+)
 
-// load is the number of flows per 100 slots, weighted by how slow the instance
-// answers. Long flows are spread by those open now, others by those placed of
-// late.
-func (p *placement) load(b *table.Backend) int {
+// count is the number of flows per 100 slots that this balancer has sent to an
+// instance: those open now, or those placed of late.
+func (p *placement) count(b *table.Backend) int {
 	n := int(b.State.Placed())
 	if p.long {
 		n = int(b.State.Open())
 	}
-	n = (n + 1) * 100 / b.Instance.Slots
-	switch l := b.State.Judged().Latency(p.now); {
+	return (n + 1) * 100 / b.Instance.Slots
+}
+
+// meanCount returns the mean count of the ready instances of the own data
+// centre, or of the others of the region when it has none.
+func (p *placement) meanCount(g *table.Group) int {
+	set := g.Local
+	if len(set) == 0 {
+		set = g.Remote
+	}
+	sum := 0
+	for _, b := range set {
+		sum += p.count(b)
+	}
+	return sum / max(1, len(set))
+}
+
+// load is the number of flows per 100 slots, weighted by how slow the instance
+// answers.
+func (p *placement) load(b *table.Backend) int {
+	n := p.count(b)
+	judged := b.State.Judged()
+	if judged.Recovering(p.now) {
+		// It got no flows while it was in doubt, so its count alone would draw
+		// all new ones.
+		n = max(n, p.usual) * recoverPenalty
+	}
+	switch l := judged.Latency(p.now); {
 	case l > 0 && p.base > 0:
 		return int(float64(n) * min(float64(l)/float64(p.base), maxSlower))
 	case p.now.Sub(b.Since) < b.Instance.WarmupLeft:
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -43,6 +43,8 @@
 	// Asked is when the client last sent new data that is not answered; zero when
 	// all is answered.
 	Asked time.Time
+	// Overdue is true once the answer to that data has taken too long.
+	Overdue bool
 	// Long is true for a flow that counts in its instance's open flows.
 	Long bool
 	// Syn is a copy of the opening while State is TrackOpening.
@@ -104,12 +106,12 @@
 	seen.Progress = t.Ack != 0 && int32(s.Ack-t.Ack) > 0
 	if seen.Progress && !t.Asked.IsZero() {
 		seen.Took = now.Sub(t.Asked)
-		t.Asked = time.Time{}
+		t.Asked, t.Overdue = time.Time{}, false
 	}
 	if t.Seq == 0 || int32(end-t.Seq) > 0 {
 		t.Seq, t.Advanced = end, now
 		if s.Data > 0 {
-			t.Asked = now
+			t.Asked, t.Overdue = now, false
 		}
 	} else {
 		seen.Repeated = s.Data > 0 && now.Sub(t.Advanced) >= repeatAfter
@@ -124,6 +126,11 @@
 	return t, seen
 }
 
+// waits reports whether the flow's instance owes an answer that is not overdue.
+func (t *Track) waits() bool {
+	return t.State == TrackOpening || !t.Asked.IsZero() && !t.Overdue
+}
+
 const (
 	trackShards = 16
 	// DefaultTrackLimit is the number of flows that one balancer tracks: above
@@ -142,19 +149,19 @@
 type trackShard struct {
 	mu locks.Mutex
 	m  map[packet.FlowID]Track
-	// opening holds the keys of m whose track is opening.
-	opening map[packet.FlowID]struct{}
+	// waiting holds the keys of m whose track waits for its instance.
+	waiting map[packet.FlowID]struct{}
 }
 
 func (s *trackShard) note(f packet.FlowID, t *Track) {
-	if t.State != TrackOpening {
-		delete(s.opening, f)
+	if !t.waits() {
+		delete(s.waiting, f)
 		return
 	}
-	if s.opening == nil {
-		s.opening = make(map[packet.FlowID]struct{})
+	if s.waiting == nil {
+		s.waiting = make(map[packet.FlowID]struct{})
 	}
-	s.opening[f] = struct{}{}
+	s.waiting[f] = struct{}{}
 }
 
 func (ts *Tracks) shard(f packet.FlowID) *trackShard {
@@ -186,13 +193,13 @@
 	return true
 }
 
-// Openings returns the flows whose opening matches fn.
-func (ts *Tracks) Openings(h *locks.Holder, fn func(Track) bool) []packet.FlowID {
+// Waiting returns the flows that wait for their instance and match fn.
+func (ts *Tracks) Waiting(h *locks.Holder, fn func(Track) bool) []packet.FlowID {
 	var out []packet.FlowID
 	for i := range ts.shards {
 		s := &ts.shards[i]
 		s.mu.Lock(h, locks.RankTracks)
-		for f := range s.opening {
+		for f := range s.waiting {
 			if fn(s.m[f]) {
 				out = append(out, f)
 			}
@@ -209,7 +216,7 @@
 	defer s.mu.Unlock(h, locks.RankTracks)
 	t, ok := s.m[f]
 	delete(s.m, f)
-	delete(s.opening, f)
+	delete(s.waiting, f)
 	return t, ok
 }
 
@@ -235,7 +242,7 @@
 		for f, t := range s.m {
 			if fn(t) {
 				delete(s.m, f)
-				delete(s.opening, f)
+				delete(s.waiting, f)
 				out = append(out, t)
 			}
 		}
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -24,6 +24,8 @@
 	placed atomic.Int32
 	// open counts the long opaque flows that this balancer has seen open there.
 	open atomic.Int32
+	// untold counts the failures that the other balancers have not been told of.
+	untold atomic.Uint32
 	// judged is a copy of Health for readers without the lock.
 	judged atomic.Pointer[health.State]
 
@@ -58,6 +60,9 @@
 
 // Judge takes in a signal; the caller holds the lock.
 func (u *Upstream) Judge(now time.Time, sig health.Signal) {
+	if _, ok := sig.(health.Failed); ok {
+		u.untold.Add(1)
+	}
 	u.Health = u.Health.With(now, sig)
 	judged := u.Health
 	u.judged.Store(&judged)
@@ -71,6 +76,9 @@
 	return health.State{}
 }
 
+// TakeUntold returns the failures since the last call.
+func (u *Upstream) TakeUntold() uint32 { return u.untold.Swap(0) }
+
 // CountOpen adds to the long flows that this balancer has seen open there.
 func (u *Upstream) CountOpen(n int32) { u.open.Add(n) }
 
--- a/io/front/stats.go
+++ b/io/front/stats.go
@@ -98,7 +98,7 @@
 		}
 		s.successCut.Add(1)
 		return false
-	case "packet_dropped", "packet_repeated", "flow_reset", "flow_hedged", "flow_retried":
+	case "packet_dropped", "packet_repeated", "flow_reset", "flow_hedged", "flow_retried", "answer_overdue":
 		if s.failure.Allow() {
 			return true
 		}
--- a/io/gossip/decode.go
+++ b/io/gossip/decode.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/go-faster/errors"
@@ -69,7 +70,7 @@
 		case fieldCounter:
 			out.counter = f.number
 			return nil
-		case fieldPing, fieldAck, fieldPingRequest, fieldPull, fieldPage:
+		case fieldPing, fieldAck, fieldPingRequest, fieldPull, fieldPage, fieldFindings:
 			if out.message != nil {
 				return errors.New("two messages in one frame")
 			}
@@ -97,6 +98,7 @@
 	var h member.Head
 	var target model.Balancer
 	var name string
+	var findings []member.Finding
 	limit := member.MaxUpdates
 	if f.id == fieldPage {
 		limit = member.PageUpdates
@@ -122,6 +124,13 @@
 			var u member.Update
 			u, err = decodeUpdate(f.bytes)
 			h.Updates = append(h.Updates, u)
+		case fieldFinding:
+			if len(findings) == member.MaxFindings {
+				return errors.Errorf("more than %d findings", member.MaxFindings)
+			}
+			var one member.Finding
+			one, err = decodeFinding(f.bytes)
+			findings = append(findings, one)
 		default:
 		}
 		return err
@@ -144,6 +153,8 @@
 		return &member.PingRequest{Head: h, Target: target}, nil
 	case fieldPull:
 		return &member.Pull{Head: h, After: name}, nil
+	case fieldFindings:
+		return &member.Findings{Head: h, List: findings}, nil
 	default:
 		return &member.Page{Head: h, Next: name}, nil
 	}
@@ -179,6 +190,24 @@
 	return u, err
 }
 
+func decodeFinding(b []byte) (member.Finding, error) {
+	var out member.Finding
+	err := each(b, func(f field) error {
+		switch f.id {
+		case fieldInstance:
+			out.Instance = f.number
+		case fieldFailures:
+			out.Failures = uint32(min(f.number, math.MaxUint32))
+		default:
+		}
+		return nil
+	})
+	if err == nil && (out.Instance == 0 || out.Failures == 0) {
+		err = errors.New("finding without an instance or without failures")
+	}
+	return out, err
+}
+
 func decodeBalancer(b []byte) (model.Balancer, error) {
 	var v model.Balancer
 	var fetch []byte
--- a/io/gossip/encode.go
+++ b/io/gossip/encode.go
@@ -18,6 +18,7 @@
 	fieldPingRequest protowire.Number = 5 // message
 	fieldPull        protowire.Number = 6 // message
 	fieldPage        protowire.Number = 7 // message
+	fieldFindings    protowire.Number = 8 // message
 )
 
 // Fields of a message.
@@ -29,6 +30,13 @@
 	fieldUpdate   protowire.Number = 5 // repeated update
 	fieldTarget   protowire.Number = 6 // balancer, ping_request only
 	fieldName     protowire.Number = 7 // string: after of pull, next of page
+	fieldFinding  protowire.Number = 8 // repeated finding, findings only
+)
+
+// Fields of a finding.
+const (
+	fieldInstance protowire.Number = 1 // fixed64
+	fieldFailures protowire.Number = 2 // uint64
 )
 
 // Fields of a balancer and of an update; fieldStatus occurs in updates only.
@@ -54,6 +62,12 @@
 		return appendBytes(b, fieldPull, appendString(appendHead(nil, &m.Head), fieldName, m.After))
 	case *member.Page:
 		return appendBytes(b, fieldPage, appendString(appendHead(nil, &m.Head), fieldName, m.Next))
+	case *member.Findings:
+		h := appendHead(nil, &m.Head)
+		for _, f := range m.List {
+			h = appendBytes(h, fieldFinding, appendFinding(nil, f))
+		}
+		return appendBytes(b, fieldFindings, h)
 	}
 	return b
 }
@@ -70,6 +84,12 @@
 	return b
 }
 
+func appendFinding(b []byte, f member.Finding) []byte {
+	b = protowire.AppendTag(b, fieldInstance, protowire.Fixed64Type)
+	b = protowire.AppendFixed64(b, f.Instance)
+	return appendUint(b, fieldFailures, uint64(f.Failures))
+}
+
 func appendBalancer(b []byte, v model.Balancer) []byte {
 	b = appendString(b, fieldBalancer, v.Name)
 	b = appendString(b, fieldDataCentre, v.DataCentre)
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -30,6 +30,7 @@
 		&member.Ping{Head: head}, &member.Ack{Head: head}, &member.PingRequest{Head: head, Target: six},
 		&member.Pull{Head: head, After: "balancer-2"}, &member.Page{Head: head, Next: "balancer-4"},
 		&member.Ping{Head: member.Head{From: six}},
+		&member.Findings{Head: member.Head{From: four}, List: []member.Finding{{Instance: 1 << 63, Failures: 1}, {Instance: 7, Failures: 300}}},
 	}
 )
 
