Count open flows of full tables and restarted instances right; forget dropped routes

Causes, found by reading: a long flow that the full table of flows did not take was subtracted at its end all the same, and so were flows of an instance that has started again under its ID, from the count of the new start. A count below the truth draws new flows. Addresses of dropped routes were remembered for the life of a process.

Ruled out as visible today: the table holds 65,536 flows, and a process lives for some thousand changes of routes at most.

Before: TestOpenFlowsAreCounted says -1 open flows in both cases; after: 0.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -16,12 +16,13 @@
 )
 
 // Route puts routes in force unless newer ones are, and notes that the store
-// confirmed them. It reports whether they changed.
-func Route(h *locks.Holder, now time.Time, s *table.Set, in *input.Routed) bool {
+// confirmed them. Dropped routes are remembered for keep. It reports whether the
+// routes changed.
+func Route(h *locks.Holder, now time.Time, s *table.Set, in *input.Routed, keep time.Duration) bool {
 	changed := false
 	s.UpdateDirect(h, func(d *table.Direct) *table.Direct {
 		if in.Routing.Revision > d.Routing.Revision {
-			d, changed = d.WithRouting(in.Routing.WithPrevious(d.Routing)), true
+			d, changed = d.WithRouting(in.Routing.WithPrevious(d.Routing, now, keep)), true
 		}
 		return d.WithRoutingSeen(latest(d.RoutingSeen, now.Add(-in.Age)))
 	})
@@ -61,8 +62,12 @@
 // TrackOpened stores that a flow is open at an instance, which has answered.
 func TrackOpened(h *locks.Holder, now time.Time, s *table.Set, f packet.FlowID, t table.Track, b *table.Backend, long bool) table.Track {
 	t = t.WithOpen(b.Instance.ID)
-	t.Long = long
-	if s.Tracks.Put(h, f, t) && long {
+	t.Long, t.Born = long, b.Instance.Born
+	switch stored := s.Tracks.Put(h, f, t); {
+	case !stored:
+		// A later Put may store it; its end must not be counted then.
+		t.Long = false
+	case long:
 		b.State.CountOpen(1)
 	}
 	b.State.Observe(h, now, health.Accepted{Incarnation: b.Instance.ID})
@@ -160,7 +165,7 @@
 }
 
 func uncount(d *table.Direct, t table.Track) {
-	if b, ok := d.Backend(t.Instance); ok && t.Long {
+	if b, ok := d.Backend(t.Instance); ok && t.Long && t.Born == b.Instance.Born {
 		b.State.CountOpen(-1)
 	}
 }
--- /dev/null
+++ b/core/cmds/direct_test.go
@@ -0,0 +1,73 @@
+package cmds
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"egretdock/core/locks"
+	"egretdock/core/model"
+	"egretdock/core/packet"
+	"egretdock/core/roster"
+	"egretdock/core/table"
+)
+
+var listedAt = time.Unix(1e9, 0)
+
+// withInstance returns tables that list instance 1, started at born.
+func withInstance(s *table.Set, h *locks.Holder, born, revision uint64) *table.Backend {
+	in := model.Instance{ID: 1, Name: "i-1", Service: "desk", Slots: 2, Born: born, Revision: revision, Endpoint: netip.MustParseAddrPort("10.0.0.1:80")}
+	Roster(h, s, table.Locality{}, func(r roster.Roster) (roster.Roster, bool) {
+		return r.WithList(listedAt, []model.InstanceChange{{Instance: in}}, revision), true
+	})
+	b, _ := s.Direct().Backend(1)
+	return b
+}
+
+func flowNumber(n int) packet.FlowID {
+	a := netip.AddrFrom4([4]byte{100, 64, byte(n >> 16), byte(n >> 8)})
+	return packet.FlowID{Client: netip.AddrPortFrom(a, uint16(1000+n&0xff)), Address: netip.MustParseAddrPort("198.18.0.1:443")}
+}
+
+func assertOpen(t *testing.T, b *table.Backend, want int32) {
+	t.Helper()
+	if got := b.State.Open(); got != want {
+		t.Errorf("%d long flows are open at the instance, want %d", got, want)
+	}
+}
+
+// Guards against a count of open flows that falls below the truth, so that the
+// instance draws all new flows.
+func TestOpenFlowsAreCounted(t *testing.T) {
+	var h locks.Holder
+	t.Run("opened and forgotten", func(t *testing.T) {
+		s := &table.Set{}
+		b := withInstance(s, &h, 1, 1)
+		TrackOpened(&h, listedAt, s, flowNumber(1), table.Track{}, b, true)
+		assertOpen(t, b, 1)
+		Forget(&h, s, flowNumber(1))
+		assertOpen(t, b, 0)
+	})
+	t.Run("table full at the opening", func(t *testing.T) {
+		s := &table.Set{}
+		b := withInstance(s, &h, 1, 1)
+		full := 0
+		for s.Tracks.Put(&h, flowNumber(full), table.Track{}) {
+			full++
+		}
+		track := TrackOpened(&h, listedAt, s, flowNumber(full), table.Track{}, b, true)
+		for n := range full {
+			Forget(&h, s, flowNumber(n))
+		}
+		TrackSegment(&h, listedAt, s, &packet.Segment{Flow: flowNumber(full)}, track, b)
+		Forget(&h, s, flowNumber(full))
+		assertOpen(t, b, 0)
+	})
+	t.Run("instance started again under its ID", func(t *testing.T) {
+		s := &table.Set{}
+		TrackOpened(&h, listedAt, s, flowNumber(1), table.Track{}, withInstance(s, &h, 1, 1), true)
+		again := withInstance(s, &h, 2, 2)
+		Forget(&h, s, flowNumber(1))
+		assertOpen(t, again, 0)
+	})
+}
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -71,9 +71,9 @@
 	IdleTimeout time.Duration
 
 	routes map[netip.AddrPort]Route
-	// dropped holds the addresses that an earlier routing had; never modified in
-	// place.
-	dropped map[netip.AddrPort]bool
+	// dropped holds the addresses that an earlier routing had, with the time at
+	// which they were dropped; never modified in place.
+	dropped map[netip.AddrPort]time.Time
 }
 
 // Route returns the route of a service address.
@@ -84,20 +84,24 @@
 
 // Dropped reports whether an earlier routing had a route of an address that this
 // one has not.
-func (r Routing) Dropped(a netip.AddrPort) bool { return r.dropped[a] }
+func (r Routing) Dropped(a netip.AddrPort) bool {
+	_, ok := r.dropped[a]
+	return ok
+}
 
 // WithPrevious returns a copy that knows which routes of an earlier routing it
-// has not.
-func (r Routing) WithPrevious(prev Routing) Routing {
-	r.dropped = make(map[netip.AddrPort]bool)
-	for a := range prev.dropped {
-		if _, ok := r.routes[a]; !ok {
-			r.dropped[a] = true
+// has not. Those dropped longer ago than keep are forgotten, so that they don't
+// add up over the life of a process.
+func (r Routing) WithPrevious(prev Routing, now time.Time, keep time.Duration) Routing {
+	r.dropped = make(map[netip.AddrPort]time.Time)
+	for a, at := range prev.dropped {
+		if _, ok := r.routes[a]; !ok && now.Sub(at) < keep {
+			r.dropped[a] = at
 		}
 	}
 	for a := range prev.routes {
 		if _, ok := r.routes[a]; !ok {
-			r.dropped[a] = true
+			r.dropped[a] = now
 		}
 	}
 	return r
