Choose the reader by capacity; cheap first lists

Each start made two lists and two watches, although a follower finds its reader within 300 ms. The reader of a data centre was chosen by hash alone among hosts of 0.043 and 0.8 cores.

Ruled out: waiting for the reader before the first list, which would lengthen the recovery from a cut of power to all.

The first lists allow an older state, which costs a tenth, and the watch that brings the rest comes 300 ms later. Lists after the loss of the history do not. Balancers tell their processor share in membership messages.

--- a/core/model/balancer.go
+++ b/core/model/balancer.go
@@ -14,6 +14,9 @@
 	Peer netip.AddrPort
 	// Fetch serves configuration to other balancers.
 	Fetch netip.AddrPort
+	// Capacity is the processor time that its host gives it, in thousandths of a
+	// core; 0 when unknown.
+	Capacity uint32
 }
 
 // WithIncarnation returns a copy with another incarnation.
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -289,6 +289,11 @@
 	if got, _ := Reader(v, "ain"); got.DataCentre != "ain" {
 		t.Errorf("reader of ain is %q", got.Name)
 	}
+	v = v.With(model.Balancer{Name: "b4", DataCentre: "ain", Fetch: at, Capacity: 800}).
+		With(model.Balancer{Name: "b5", DataCentre: "ain", Fetch: at, Capacity: 43})
+	if got, _ := Reader(v, "ain"); got.Name != "b4" {
+		t.Errorf("reader of ain is %q, want b4, which has the largest capacity", got.Name)
+	}
 	if _, ok := Reader(v, "nowhere"); ok {
 		t.Error("a data centre without balancers has a reader")
 	}
--- a/core/query/news.go
+++ b/core/query/news.go
@@ -49,21 +49,25 @@
 	return n
 }
 
-// Reader returns the live balancer that reads the store for a data centre: the
-// first by the hash of its name. While members disagree several read, which
-// only costs calls.
+// Reader returns the live balancer that reads the store for a data centre: of
+// those with the largest capacity, the first by the hash of its name. While
+// members disagree several read, which only costs calls.
 func Reader(v member.View, dataCentre string) (model.Balancer, bool) {
-	var best model.Balancer
-	var score uint64
+	capacity := uint32(0)
+	var names []string
 	for _, b := range v.Balancers() {
-		if b.DataCentre != dataCentre || !b.Fetch.IsValid() {
+		if b.DataCentre != dataCentre || !b.Fetch.IsValid() || b.Capacity < capacity {
 			continue
 		}
-		if s := xxhash.Sum64String(b.Name); best.Name == "" || s > score {
-			best, score = b, s
+		if b.Capacity > capacity {
+			capacity, names = b.Capacity, nil
 		}
+		names = append(names, b.Name)
 	}
-	return best, best.Name != ""
+	if len(names) == 0 {
+		return model.Balancer{}, false
+	}
+	return v.Get(rank.Order(names)[0])
 }
 
 // Others returns the live balancers besides self that hand out news: those of
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -2,7 +2,12 @@
 // knows the same names computes the same order.
 package rank
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Width is the number of candidates of a flow.
 const Width = 3
@@ -27,6 +32,14 @@
 	return Ranking{keys: keys}
 }
 
+// Order returns names in the order of their hashes, which all balancers compute
+// alike and which favours none.
+func Order(names []string) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return out
+}
+
 // Top is the indexes of the highest-ranked names, best first.
 type Top struct {
 	index [Width]int
--- a/io/daemon/state.go
+++ b/io/daemon/state.go
@@ -6,12 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egretdock/core/input"
 	"egretdock/core/locks"
 	"egretdock/core/member"
 	"egretdock/core/query"
+	"egretdock/core/rank"
 	"egretdock/core/table"
 	"egretdock/io/admin"
 )
@@ -73,9 +72,7 @@
 // Rank implements relay.Fleet: the place of this balancer among those of its
 // data centre in the order of the hashes of their names.
 func (d *Daemon) Rank() int {
-	names := slices.SortedFunc(maps.Keys(d.Acked()), func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
-	})
+	names := rank.Order(slices.Collect(maps.Keys(d.Acked())))
 	return max(0, slices.Index(names, d.engine.Self.Name))
 }
 
--- a/io/emul/objs/store.go
+++ b/io/emul/objs/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -69,10 +70,40 @@
 	floor uint64
 	fault Fault
 	calls int
+	// stale counts the lists that may be answered with an older state; lag is that
+	// state, or nil for the current one.
+	stale int
+	lag   *state
 	// changed is closed and replaced at each change and fault.
 	changed chan struct{}
 }
 
+// state is the objects at one revision.
+type state struct {
+	objects map[string]map[string]Object
+	at      uint64
+}
+
+func (s *Store) current() state { return state{objects: s.objects, at: s.at()} }
+
+// Lag lets lists that may be stale show the state of now from now on.
+func (s *Store) Lag() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := state{objects: make(map[string]map[string]Object, len(s.objects)), at: s.at()}
+	for kind, objects := range s.objects {
+		old.objects[kind] = maps.Clone(objects)
+	}
+	s.lag = &old
+}
+
+// StaleLists returns the number of lists that allowed an older state.
+func (s *Store) StaleLists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stale
+}
+
 // Put writes an object, as its writer would.
 func (s *Store) Put(kind, name string, spec any) uint64 {
 	raw, ok := spec.(json.RawMessage)
@@ -165,7 +196,7 @@
 		s.watch(w, r, kind, from)
 		return
 	}
-	s.list(w, kind, r.FormValue("after"))
+	s.list(w, kind, r.FormValue("after"), r.FormValue("stale_ok") == "1")
 }
 
 func (s *Store) fail(w http.ResponseWriter, r *http.Request, f Fault) bool {
@@ -185,11 +216,18 @@
 	return true
 }
 
-func (s *Store) list(w http.ResponseWriter, kind, after string) {
+func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	shown := s.current()
+	if stale {
+		s.stale++
+		if s.lag != nil {
+			shown = *s.lag
+		}
+	}
 	var names []string
-	for name := range s.objects[kind] {
+	for name := range shown.objects[kind] {
 		if name > after {
 			names = append(names, name)
 		}
@@ -198,9 +236,9 @@
 	more := len(names) > Page
 	items := make([]Object, 0, Page)
 	for _, name := range names[:min(len(names), Page)] {
-		items = append(items, s.objects[kind][name])
+		items = append(items, shown.objects[kind][name])
 	}
-	answer(w, map[string]any{"items": items, "more": more, "at": s.at()})
+	answer(w, map[string]any{"items": items, "more": more, "at": shown.at})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, text string) {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -32,6 +32,10 @@
 	// and edits may come several a second. The bound for configuration and for
 	// draining is 3 s.
 	groupPause = 400 * time.Millisecond
+	// firstWatch is the pause between the first list, which may be some seconds old
+	// and costs a tenth, and the watch that brings the rest. By then a follower has
+	// found its reader and needs no watch.
+	firstWatch = 300 * time.Millisecond
 	// retryFirst and retryMost bound the wait after a failed call; each call is
 	// paid for, refused ones too.
 	retryFirst, retryMost = 100 * time.Millisecond, time.Second
@@ -69,7 +73,7 @@
 type source interface {
 	name() string
 	// list reads everything and returns the revision to watch from.
-	list(ctx context.Context) (uint64, error)
+	list(ctx context.Context, f platform.Freshness) (uint64, error)
 	// watch reads what changed after a revision.
 	watch(ctx context.Context, from uint64) (uint64, error)
 	// known returns a revision from which a watch misses nothing, or 0.
@@ -94,6 +98,7 @@
 // the store has forgotten the revision.
 func (f *Feed) followStore(ctx context.Context, s source, rnd *rand.Rand) {
 	at := s.known()
+	fresh := platform.Stale
 	failed := 0
 	lost := time.Time{}
 	defer func() {
@@ -103,7 +108,7 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, s, at)
+		next, err := f.step(ctx, s, at, fresh)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -112,7 +117,10 @@
 				s.away(false)
 				f.Event(effect.Event{Name: "store_regained", List: next, Detail: "kind=" + s.name() + " after=" + time.Since(lost).String()})
 			}
-			if at > 0 && next > at {
+			switch {
+			case at == 0 && fresh == platform.Stale:
+				loop.Sleep(ctx, firstWatch)
+			case at > 0 && next > at:
 				// Changes come in groups; one call fetches those of a group.
 				loop.Sleep(ctx, groupPause)
 			}
@@ -120,7 +128,7 @@
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
 			f.Event(effect.Event{Name: "history_gone", List: at, Detail: "kind=" + s.name() + " action=list"})
-			at = 0
+			at, fresh = 0, platform.Latest
 			continue
 		}
 		if failed++; failed == 1 {
@@ -134,8 +142,8 @@
 }
 
 // step makes one call: a list without a revision to watch from, else a watch.
-func (f *Feed) step(ctx context.Context, s source, at uint64) (uint64, error) {
-	timeout, call := listTimeout, s.list
+func (f *Feed) step(ctx context.Context, s source, at uint64, fresh platform.Freshness) (uint64, error) {
+	timeout, call := listTimeout, func(ctx context.Context) (uint64, error) { return s.list(ctx, fresh) }
 	if at > 0 {
 		timeout, call = WatchWait+answerSlack, func(ctx context.Context) (uint64, error) { return s.watch(ctx, at) }
 	}
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -38,9 +38,15 @@
 }
 
 func newBench(t *testing.T, self bool) *bench {
+	t.Helper()
+	return newBenchWith(t, &objs.Store{Silenced: make(chan struct{}, 100)}, self)
+}
+
+// newBenchWith starts a feed of a store that may hold objects.
+func newBenchWith(t *testing.T, store *objs.Store, self bool) *bench {
 	t.Helper()
 	b := &bench{
-		t: t, store: &objs.Store{Silenced: make(chan struct{}, 100)}, self: self, reader: model.Balancer{Name: "reader"},
+		t: t, store: store, self: self, reader: model.Balancer{Name: "reader"},
 		inputs: make(chan input.Input, 1000), events: make(chan effect.Event, 1000),
 	}
 	srv := httptest.NewServer(b.store)
@@ -188,6 +194,25 @@
 	b.waitEvent("store_regained")
 }
 
+// Guards against a list after the loss of the history that is itself older than
+// the history, which would repeat for ever.
+func TestListAfterHistoryIsLatest(t *testing.T) {
+	b := newBench(t, true)
+	waitFor(b, "the empty list", listedAt(1))
+	b.store.Break(objs.FaultBusy)
+	b.waitEvent("store_lost")
+	before := b.store.StaleLists()
+	b.store.Lag()
+	b.put("i-1", "ready")
+	b.store.Compact()
+	b.store.Break(objs.FaultNone)
+	b.waitEvent("history_gone")
+	b.waitEvent("store_regained")
+	if n := b.store.StaleLists() - before; n > 0 {
+		t.Errorf("%d lists allowed an older state after the loss of the history, want none", n)
+	}
+}
+
 // Guards against an old configuration that stays in force behind a connection
 // that has gone silent: it must be noticed within the 3 s of the bound.
 func TestSilentStore(t *testing.T) {
@@ -206,6 +231,21 @@
 	}
 }
 
+// Guards against an old state that stays in force when the cheap first list is
+// some seconds behind, and against starts that pay the full price for it.
+func TestFirstListMayBeStale(t *testing.T) {
+	store := &objs.Store{}
+	store.Put("config", "main", map[string]any{"version": 7})
+	store.Lag()
+	store.Put("config", "main", map[string]any{"version": 8})
+	b := newBenchWith(t, store, true)
+	waitFor(b, "the older routes", versionIs(7))
+	waitFor(b, "the routes in force", versionIs(8))
+	if n := store.StaleLists(); n != 2 {
+		t.Errorf("%d lists allowed an older state, want the first of routes and of instances", n)
+	}
+}
+
 // Guards against instances that are taken for gone while the store is away.
 func TestStoreAwayIsReported(t *testing.T) {
 	b := newBench(t, true)
--- a/io/gossip/decode.go
+++ b/io/gossip/decode.go
@@ -223,6 +223,8 @@
 			v.Peer, err = decodeAddr(f.bytes, netip.Addr{})
 		case fieldFetch:
 			fetch = f.bytes
+		case fieldCapacity:
+			v.Capacity = uint32(min(f.number, math.MaxUint32))
 		default:
 		}
 		return err
--- a/io/gossip/encode.go
+++ b/io/gossip/encode.go
@@ -47,6 +47,7 @@
 	fieldPeer        protowire.Number = 4 // bytes: IP, then port, big endian
 	fieldFetch       protowire.Number = 5 // bytes: as peer; the IP is left out if equal
 	fieldStatus      protowire.Number = 6 // uint64
+	fieldCapacity    protowire.Number = 7 // uint64
 )
 
 func appendMessage(b []byte, m member.Message) []byte {
@@ -100,7 +101,7 @@
 	if v.Fetch.IsValid() {
 		b = appendBytes(b, fieldFetch, appendAddr(nil, v.Fetch, v.Peer.Addr()))
 	}
-	return b
+	return appendUint(b, fieldCapacity, uint64(v.Capacity))
 }
 
 // appendAddr appends an address; the IP is left out if it is the known one.
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -19,7 +19,7 @@
 	addrs = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
 	four  = model.Balancer{
 		Name: "balancer-1", DataCentre: "dc-1", Incarnation: 3,
-		Peer: netip.MustParseAddrPort("10.0.0.1:7100"), Fetch: netip.MustParseAddrPort("10.0.0.1:7101"),
+		Peer: netip.MustParseAddrPort("10.0.0.1:7100"), Fetch: netip.MustParseAddrPort("10.0.0.1:7101"), Capacity: 134,
 	}
 	six  = model.Balancer{Name: "balancer-2", Peer: netip.MustParseAddrPort("[fd00::2]:7100"), Fetch: netip.MustParseAddrPort("10.9.0.2:7101")}
 	head = member.Head{Seq: 9, From: four, Revision: 77, Digest: 1 << 63, Updates: []member.Update{
