Write the events of demo and load to a file

Cause: the demo printed 401 lines of balancers' events, 288 of them member_joined, around its report of 38 lines. They go to a file now, and to standard error with -v.

--- a/io/trial/demo.go
+++ b/io/trial/demo.go
@@ -21,6 +21,7 @@
 	cmdenv.Env
 	example string
 	seed    uint64
+	events  events
 }
 
 // demoLength leaves 10 s before the flood for the window of imbalance, and
@@ -35,7 +36,7 @@
 
 // Usage implements subcommands.Command.
 func (*Demo) Usage() string {
-	return `demo [-example casablanca|lagos] [-seed N]
+	return `demo [-example casablanca|lagos] [-seed N] [-v]
 
 Starts the deployment in this process, applies an edit, drains an upstream,
 kills and replaces a balancer, retires another, floods the most urgent class,
@@ -52,6 +53,7 @@
 func (d *Demo) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&d.example, "example", "casablanca", "example deployment")
 	f.Uint64Var(&d.seed, "seed", 1, "seed of arrivals and upstreams")
+	d.events.setFlags(f)
 }
 
 // Execute implements subcommands.Command.
@@ -70,6 +72,10 @@
 		return d.Finish(d.Name(), err)
 	}
 	defer func() { _ = line.Close() }()
+	if err := d.events.open(d.Name()); err != nil {
+		return d.Finish(d.Name(), err)
+	}
+	defer d.events.close()
 	d.introduce(c, script)
 	cfg := load.Config{Case: c, Script: script, Policy: load.Egretdock{}, Seed: d.seed, Timeline: line, Progress: func(t time.Duration) {
 		d.Print("  %s of %s", t.Round(time.Second), script.Length)
@@ -81,6 +87,7 @@
 	r := load.Summarize(cfg, h)
 	printReport(d.Out, r)
 	d.Print("time line: %s", line.Name())
+	d.Print("events of the balancers: %s", d.events.name())
 	if r.Broken() {
 		return cmdenv.ExitInvariant
 	}
--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -29,6 +29,7 @@
 	// json and timeline are file names.
 	json     string
 	timeline string
+	events   events
 }
 
 // Name implements subcommands.Command.
@@ -39,7 +40,7 @@
 
 // Usage implements subcommands.Command.
 func (*Load) Usage() string {
-	return `load [-example casablanca|lagos] [-scenario NAME] [-policy P1,P2] [-seed N] [-for 20s] [-json FILE]
+	return `load [-example casablanca|lagos] [-scenario NAME] [-policy P1,P2] [-seed N] [-for 20s] [-json FILE] [-v]
 
 Runs balancers, stand-in upstreams and clients in this process on loopback, and
 reports the measures and a verdict on each invariant. With several policies,
@@ -67,6 +68,7 @@
 	f.BoolVar(&l.noToken, "no-token", false, "clients echo no route token")
 	f.StringVar(&l.json, "json", "", "file for the reports as JSON, one object for each policy")
 	f.StringVar(&l.timeline, "timeline", "", "file for the events of the run; empty writes none")
+	l.events.setFlags(f)
 }
 
 // Execute implements subcommands.Command.
@@ -89,6 +91,10 @@
 		return l.Finish(l.Name(), err)
 	}
 	defer closeReports()
+	if err := l.events.open(l.Name()); err != nil {
+		return l.Finish(l.Name(), err)
+	}
+	defer l.events.close()
 	var reports []load.Report
 	for _, cfg := range cfgs {
 		cfg.Timeline = out
@@ -110,6 +116,7 @@
 		}
 		reports = append(reports, r)
 	}
+	_, _ = fmt.Fprintf(l.Err, "events of the balancers: %s\n", l.events.name())
 	for _, r := range reports[1:] {
 		printRatios(l.Err, reports[0], r)
 	}
