Soak: judge draining by the openings that instances see

It judged by the time at which a client learnt of its open flow, less a whole request deadline, and instances ended 3.2 to 6.2 s after their announcement, so little could be seen.

The stand-in upstream notes when an opening arrives, and stays a second longer.

--- a/io/emul/opaq/upstream.go
+++ b/io/emul/opaq/upstream.go
@@ -38,9 +38,9 @@
 
 // UpstreamStats are what an instance has seen.
 type UpstreamStats struct {
-	// Opened counts flows, and LastOpened is the time of the latest.
-	Opened     int
-	LastOpened time.Time
+	// Opened counts flows; LastOpening is when the latest opening arrived.
+	Opened      int
+	LastOpening time.Time
 	// Answered counts payloads.
 	Answered int
 	// Resets counts packets of flows that the instance does not hold.
@@ -112,11 +112,11 @@
 		delete(u.flows, f)
 		return
 	case p.Open:
+		u.stats.LastOpening = time.Now()
 		// The position names the instance, so that a client sees who answers.
 		reply.Open, reply.Seq, reply.Ack = true, uint32(u.ID), p.Seq+1
 	case !held && p.Ack == uint32(u.ID)+1:
 		u.stats.Opened++
-		u.stats.LastOpened = time.Now()
 		u.flows[f] = p.Seq
 		next = p.Seq
 		fallthrough
--- a/io/emul/soak/check.go
+++ b/io/emul/soak/check.go
@@ -27,22 +27,22 @@
 	return t.Sub(w.unrest) >= touchTime
 }
 
-// checkService checks that a flow was opened at an instance of its service, and
-// not at one that had long announced its end.
+// checkService checks that a flow was opened at an instance of its service.
 func (w *world) checkService(s service, id uint64) {
-	now := time.Now()
-	u := w.byID(id)
-	if u == nil || u.Service != s.name {
+	if u := w.byID(id); u == nil || u.Service != s.name {
 		w.broke("no_misroute: flow of %s opened at instance %d", s.name, id)
-		return
 	}
+}
+
+// checkDrain checks that no opening reached an instance long after it had
+// announced its end.
+func (w *world) checkDrain(u *instance) {
+	last := u.Stats().LastOpening
 	w.mu.Lock()
 	drained := u.drained
 	w.mu.Unlock()
-	// A flow may be open at its instance before its client learns so.
-	opened := now.Add(-requestLimit)
-	if !drained.IsZero() && opened.Sub(drained) > drainLimit && w.calmSince(drained) {
-		w.broke("drain_stops: flow opened at instance %d, %s after it began to drain", id, now.Sub(drained))
+	if late := last.Sub(drained); late > drainLimit && w.calmSince(drained) {
+		w.broke("drain_stops: an opening reached instance %d %s after it began to drain", u.ID, late)
 	}
 }
 
--- a/io/emul/soak/faults.go
+++ b/io/emul/soak/faults.go
@@ -134,8 +134,10 @@
 	u.drained = time.Now()
 	w.register(u)
 	w.mu.Unlock()
-	// It serves its flows for the bound and somewhat longer.
-	loop.Sleep(ctx, drainLimit+d.wait)
+	// It serves its flows for the bound and somewhat longer, in which an opening
+	// that should not come can be seen.
+	loop.Sleep(ctx, drainLimit+time.Second+d.wait)
+	w.checkDrain(u)
 	w.unregister(u)
 }
 
