Send a client's quick retries to other instances

An instance of surulere had ended while the store was silent there. It refuses openings with a reset that goes to the client directly, so the client spent its three tries in 8 ms on the same instance, two of them through the same balancer, which doubts an instance only after 40 ms without an answer. The count of open flows of such an instance falls, so that it comes first.

Ruled out: a list that could have been newer (store_lost at all balancers of surulere), the telling of failures (it takes 290 ms).

A new flow now avoids instances that other openings of its client to the same address wait for.

--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -53,7 +53,7 @@
 
 // hedge sends the openings that were not answered in time to another instance.
 func (e *Engine) hedge(w *Work, now time.Time) {
-	late := e.Tables.Tracks.Waiting(&w.locks, func(t table.Track) bool {
+	late := e.Tables.Tracks.Waiting(&w.locks, func(_ packet.FlowID, t table.Track) bool {
 		return t.State == table.TrackOpening && now.Sub(t.Sent) >= hedgeAfter && len(t.Tried()) == 1
 	})
 	for _, f := range late {
@@ -77,7 +77,7 @@
 // data, or it resets the client, which then sends nothing more.
 func (e *Engine) overdue(w *Work, now time.Time) {
 	d := e.Tables.Direct()
-	late := e.Tables.Tracks.Waiting(&w.locks, func(t table.Track) bool { return query.IsOverdue(d, t, now) })
+	late := e.Tables.Tracks.Waiting(&w.locks, func(_ packet.FlowID, t table.Track) bool { return query.IsOverdue(d, t, now) })
 	for _, f := range late {
 		if t, ok := cmds.TrackOverdue(&w.locks, now, &e.Tables, f); ok {
 			s := packet.Segment{Flow: f}
@@ -144,7 +144,7 @@
 // place sends an opening to the best instance that it was not sent to before.
 func (e *Engine) place(w *Work, now time.Time, d *table.Direct, route model.Route, s *packet.Segment, t table.Track, event string) {
 	site := query.SiteOf(e.Tables.Members(), e.Direct.Locality)
-	c := query.Place(d, route, s.Flow, &t, site, now)
+	c := query.Place(d, route, s.Flow, &t, query.Unanswered(&w.locks, &e.Tables, s.Flow), site, now)
 	if c.Backend == nil {
 		e.decide(w, now, d, s, "packet_dropped", "no_instance", c)
 		return
--- a/core/engine/direct_test.go
+++ b/core/engine/direct_test.go
@@ -187,6 +187,23 @@
 	}
 }
 
+// Guards against a client that spends all its tries within milliseconds on one
+// instance that has ended and refuses its openings: the balancer sees no answer
+// and doubts the instance only after 40 ms.
+func TestQuickRetriesGoElsewhere(t *testing.T) {
+	f := newServing(t)
+	tried := make(map[uint64]bool)
+	for range 3 {
+		id := deliveredTo(t, f.flow(feedAddress).open(0))
+		if tried[id] {
+			t.Errorf("a new flow of the client goes to instance %d, which has not answered its last one", id)
+		}
+		tried[id] = true
+		f.pass(3 * time.Millisecond)
+	}
+	t.Run("when all were tried", func(t *testing.T) { deliveredTo(t, f.flow(feedAddress).open(0)) })
+}
+
 // Guards against a starting balancer that resets the open flows of others.
 func TestStartingBalancer(t *testing.T) {
 	t.Run("without routes", func(t *testing.T) {
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -47,7 +47,7 @@
 	t.Helper()
 	count := make(map[string]int)
 	for i := range n {
-		c := Place(d, route, flowID(i), &table.Track{}, site, now)
+		c := Place(d, route, flowID(i), &table.Track{}, nil, site, now)
 		if c.Backend == nil {
 			t.Fatalf("flow %d has no instance", i)
 		}
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -1,8 +1,10 @@
 package query
 
 import (
+	"slices"
 	"time"
 
+	"egretdock/core/locks"
 	"egretdock/core/member"
 	"egretdock/core/model"
 	"egretdock/core/packet"
@@ -57,12 +59,27 @@
 	return s
 }
 
+// Unanswered returns the instances that have not answered other openings of a
+// flow's client to the same address. A client whose opening is refused tries
+// again within milliseconds on another flow.
+func Unanswered(h *locks.Holder, s *table.Set, f packet.FlowID) []uint64 {
+	var out []uint64
+	s.Tracks.Waiting(h, func(o packet.FlowID, t table.Track) bool {
+		if t.State == table.TrackOpening && o.Client.Addr() == f.Client.Addr() && o.Address == f.Address && o != f {
+			out = append(out, t.Tried()...)
+		}
+		return false
+	})
+	return out
+}
+
 // Place chooses the instance of a new flow. tried holds the instances that have
-// not answered its opening; they are chosen last.
-func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, site Site, now time.Time) Choice {
+// not answered its opening, others those of other flows of its client; both are
+// chosen last.
+func Place(d *table.Direct, route model.Route, f packet.FlowID, tried *table.Track, others []uint64, site Site, now time.Time) Choice {
 	hash := rank.Mix(f.Hash())
 	g := d.Group(route.Service(hash))
-	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried}
+	p := placement{now: now, hash: hash, long: route.Idempotent, tried: tried, others: others}
 	p.base = lowest(g, now)
 	p.usual = p.meanCount(g)
 	if p.servesLocally(g, site, route.Bulk, rank.Mix(hash)) {
@@ -82,7 +99,7 @@
 	if c := p.choose("lapsed", false, g.Lapsed); c.Backend != nil {
 		return c
 	}
-	p.tried = &table.Track{}
+	p.tried, p.others = &table.Track{}, nil
 	return p.choose("again", false, g.Local, g.Remote, g.Far, g.Lapsed)
 }
 
@@ -156,6 +173,8 @@
 	hash  uint64
 	long  bool
 	tried *table.Track
+	// others are the instances that other flows of the client wait for.
+	others []uint64
 	// base is the lowest known latency of the service, or 0.
 	base time.Duration
 	// usual is the mean count of the ready instances.
@@ -170,7 +189,7 @@
 	for _, set := range sets {
 		heed := certain && p.heeds(set)
 		for _, b := range set {
-			if p.tried.HasTried(b.Instance.ID) || certain && p.avoids(b, heed) || p.expired(b) {
+			if p.tried.HasTried(b.Instance.ID) || slices.Contains(p.others, b.Instance.ID) || certain && p.avoids(b, heed) || p.expired(b) {
 				continue
 			}
 			c.Candidates++
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -196,13 +196,13 @@
 }
 
 // Waiting returns the flows that wait for their instance and match fn.
-func (ts *Tracks) Waiting(h *locks.Holder, fn func(Track) bool) []packet.FlowID {
+func (ts *Tracks) Waiting(h *locks.Holder, fn func(packet.FlowID, Track) bool) []packet.FlowID {
 	var out []packet.FlowID
 	for i := range ts.shards {
 		s := &ts.shards[i]
 		s.mu.Lock(h, locks.RankTracks)
 		for f := range s.waiting {
-			if fn(s.m[f]) {
+			if fn(f, s.m[f]) {
 				out = append(out, f)
 			}
 		}
--- a/core/table/tracks_test.go
+++ b/core/table/tracks_test.go
@@ -66,7 +66,7 @@
 		t.Errorf("%d tracks, %d taken, want at most %d", n, taken, DefaultTrackLimit)
 	}
 	ts.Sweep(&h, func(Track) bool { return true }, func(Track) {})
-	if n, o := ts.Len(&h), len(ts.Waiting(&h, func(Track) bool { return true })); n+o > 0 {
+	if n, o := ts.Len(&h), len(ts.Waiting(&h, func(packet.FlowID, Track) bool { return true })); n+o > 0 {
 		t.Errorf("%d tracks and %d openings are left after a sweep", n, o)
 	}
 }
