--- a/io/subcmd/timeline.go
+++ b/io/subcmd/timeline.go
@@ -51,7 +51,7 @@
 	  egretdock timeline -flow 7 -addr http://10.0.0.1:9300 http://10.0.0.2:9300
 	  egretdock timeline -revision 41 -html edit.html *.log
 	  egretdock timeline -client 100.66.0.23:1040 *.log
-  egretdock timeline -customer tunde_drains -event open_refused *.log
+	  egretdock timeline -customer tunde_drains -event open_refused *.log
 
 	Exit codes:
 	  0  the time line is complete
@@ -73,7 +73,7 @@
 	c.text(f, "customer", "show the events of this `customer`", func(s string) trace.Condition { return trace.ByCustomer(s) })
 	c.text(f, "upstream", "show the events of this `upstream`", func(s string) trace.Condition { return trace.ByUpstream(s) })
 	c.text(f, "request", "show the events of this `request`", func(s string) trace.Condition { return trace.ByRequest(s) })
-	c.text(f, "client", "show the events of the flow from this client `address` and port", func(s string) trace.Condition { return trace.ByClient(s) })
+	c.text(f, "client", "show the events of the flow from this client `address` and port, or of all its flows without a port", func(s string) trace.Condition { return trace.ByClient(s) })
 	c.text(f, "event", "show the events with this `name`", func(s string) trace.Condition { return trace.ByEvent(s) })
 	c.text(f, "process", "show the events of this `process`", func(s string) trace.Condition { return trace.ByProcess(s) })
 	f.StringVar(&c.html, "html", "", "write a page for a browser to this `file` instead of text")
--- a/io/trace/filter.go
+++ b/io/trace/filter.go
@@ -17,7 +17,8 @@
 	ByUpstream string
 	// ByRequest selects the events of a request.
 	ByRequest string
-	// ByClient selects the events of the flows of a client's address and port.
+	// ByClient selects the events of the flow of a client's address and port, or
+	// of all its flows when it is an address alone.
 	ByClient string
 	// ByRevision selects the events of a configuration revision, which
 	// identifies an edit.
@@ -60,7 +61,7 @@
 	case ByRequest:
 		return gap || r.Event.Request == string(c)
 	case ByClient:
-		return gap || r.Event.Client.String() == string(c)
+		return gap || r.Event.Client.String() == string(c) || r.Event.Client.Addr().String() == string(c)
 	case ByRevision:
 		return gap || r.Event.Revision == uint64(c)
 	case ByEvent:
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -62,7 +62,7 @@
 		record("b2", 2, effect.Event{Name: "b", Flow: 2, Customer: "c2", Upstream: "u2", Revision: 2, Request: "r2", Client: netip.MustParseAddrPort("10.0.0.2:2")}),
 		record("b2", 2, effect.Event{Name: "b", Flow: 2, Customer: "c2", Upstream: "u2", Revision: 2, Request: "r2", Client: netip.MustParseAddrPort("10.0.0.2:2")}),
 	)
-	for _, c := range []Condition{ByFlow(2), ByCustomer("c2"), ByUpstream("u2"), ByRevision(2), ByEvent("b"), ByRequest("r2"), ByClient("10.0.0.2:2")} {
+	for _, c := range []Condition{ByFlow(2), ByCustomer("c2"), ByUpstream("u2"), ByRevision(2), ByEvent("b"), ByRequest("r2"), ByClient("10.0.0.2:2"), ByClient("10.0.0.2")} {
 		t.Run(fmt.Sprintf("%T", c), func(t *testing.T) {
 			wantNames(t, tl.Where(c), logs.NameOverwritten, "b")
 		})
