Derive the waits for changes from the bounds of the deployment

Cause: the waits of watches and of questions for news were made for a bound of 3 s, which the settings state; the grown sites have 5 s, and another deployment may have less than 3.

--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -22,10 +22,9 @@
 	// openingTime is how long an opening belongs to the flow that it opened: a
 	// client gives up after 1.4 s and uses another port for its next try.
 	openingTime = 2 * time.Second
-	// resetConfirmed is the age up to which the store's confirmation of the
-	// routes allows to reset the opening of an unknown address: a route that was
-	// added since may not be refused for longer than the bound for configuration.
-	resetConfirmed = 2500 * time.Millisecond
+	// defaultBound is the time in which a change must be in force when Direct does
+	// not say.
+	defaultBound = 3 * time.Second
 )
 
 // Direct is what the engine needs to know for opaque flows. The zero value
@@ -35,6 +34,19 @@
 	Locality table.Locality
 	// FlowLifetime is the age at which a flow may be forgotten.
 	FlowLifetime time.Duration
+	// ChangeBound is the time in which a change of routes must be in force; 0 means
+	// 3 s.
+	ChangeBound time.Duration
+}
+
+// resetConfirmed is the age up to which the store's confirmation of the routes
+// allows to reset the opening of an unknown address: a route that was added
+// since may not be refused for longer than the bound.
+func (d Direct) resetConfirmed() time.Duration {
+	if d.ChangeBound <= 0 {
+		return defaultBound * 5 / 6
+	}
+	return d.ChangeBound * 5 / 6
 }
 
 func (e *Engine) tickDirect(w *Work, now time.Time) {
@@ -134,7 +146,7 @@
 // noRoute answers the opening of an address without a route. Without a recent
 // confirmation the address may have a route that this balancer has not seen.
 func (e *Engine) noRoute(w *Work, now time.Time, d *table.Direct, s *packet.Segment) {
-	if now.Sub(d.RoutingSeen) > resetConfirmed {
+	if now.Sub(d.RoutingSeen) > e.Direct.resetConfirmed() {
 		e.decide(w, now, d, s, "packet_dropped", "no_route_unconfirmed", query.Choice{})
 		return
 	}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -18,19 +18,11 @@
 )
 
 const (
-	// WatchWait is how long a watch waits for a change. A connection that went
-	// silent is noticed after WatchWait + answerSlack, which must stay below the
-	// 3 s in which a configuration has to be in force.
-	WatchWait = 2 * time.Second
-	// answerSlack is the time that a slow store takes for an answer: 60 times
-	// its usual 4 ms, and a round trip.
-	answerSlack = 500 * time.Millisecond
 	// listTimeout bounds one list call, which does not wait.
 	listTimeout = 1500 * time.Millisecond
 	// groupPause is the pause after a change, so that one call fetches the changes
 	// that follow closely: instances register one by one when a deployment starts,
-	// and edits may come several a second. The bound for configuration and for
-	// draining is 3 s.
+	// and edits may come several a second. It is short against the bound for both.
 	groupPause = 400 * time.Millisecond
 	// firstWatch is the pause between the first list, which may be some seconds old
 	// and costs a tenth, and the watch that brings the rest. By then a follower has
@@ -41,7 +33,7 @@
 	retryFirst, retryMost = 100 * time.Millisecond, time.Second
 )
 
-// Feed follows the store. All fields are required.
+// Feed follows the store. All fields but Bound are required.
 type Feed struct {
 	Store *platform.Store
 	Peers Peers
@@ -54,13 +46,16 @@
 	Call func(d time.Duration, ok bool)
 	// Seed starts the random source of the retries.
 	Seed uint64
+	// Bound is the time in which a change must be in force; 0 means DefaultBound.
+	Bound time.Duration
 
-	gate *gate
+	gate   *gate
+	timing timing
 }
 
 // Run follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
-	f.gate = newGate()
+	f.gate, f.timing = newGate(), timingOf(f.Bound)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.followPeers(ctx) })
 	g.Go(func() error { return f.start(ctx) })
@@ -145,7 +140,7 @@
 func (f *Feed) step(ctx context.Context, s source, at uint64, fresh platform.Freshness) (uint64, error) {
 	timeout, call := listTimeout, func(ctx context.Context) (uint64, error) { return s.list(ctx, fresh) }
 	if at > 0 {
-		timeout, call = WatchWait+answerSlack, func(ctx context.Context) (uint64, error) { return s.watch(ctx, at) }
+		timeout, call = f.timing.watchLimit, func(ctx context.Context) (uint64, error) { return s.watch(ctx, at) }
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -226,9 +226,6 @@
 	b.configure(8)
 	b.store.Break(objs.FaultNone)
 	waitFor(b, "the routes after the silence", versionIs(8))
-	if WatchWait+answerSlack >= 3*time.Second {
-		t.Errorf("silence is noticed after %v, which exceeds the bound for configuration", WatchWait+answerSlack)
-	}
 }
 
 // Guards against an old state that stays in force when the cheap first list is
@@ -271,7 +268,7 @@
 	}{
 		{"silent reader", nil},
 		{"reader without the store", &query.News{Away: true}},
-		{"reader with old news", &query.News{ListAge: newsAge + time.Second}},
+		{"reader with old news", &query.News{ListAge: timingOf(0).newsAge + time.Second}},
 	} {
 		t.Run(c.name, func(*testing.T) {
 			b.answers(c.answer)
--- a/io/feed/kinds.go
+++ b/io/feed/kinds.go
@@ -23,7 +23,7 @@
 }
 
 func (r *routes) watch(ctx context.Context, from uint64) (uint64, error) {
-	routing, at, err := r.f.Store.WatchRouting(ctx, from, WatchWait)
+	routing, at, err := r.f.Store.WatchRouting(ctx, from, r.f.timing.watchWait)
 	if err != nil {
 		return 0, err
 	}
@@ -55,7 +55,7 @@
 }
 
 func (i *instances) watch(ctx context.Context, from uint64) (uint64, error) {
-	e, err := i.f.Store.WatchInstances(ctx, from, WatchWait)
+	e, err := i.f.Store.WatchInstances(ctx, from, i.f.timing.watchWait)
 	if err != nil {
 		return 0, err
 	}
--- a/io/feed/peers.go
+++ b/io/feed/peers.go
@@ -14,20 +14,8 @@
 	"egretdock/io/loop"
 )
 
-const (
-	// newsWait is how long a peer waits for news before it confirms the old ones.
-	newsWait = time.Second
-	// newsSlack is the time for the answer on top of newsWait. A silent peer is
-	// noticed after both, which leaves half of the 3 s in which a configuration
-	// has to be in force for reading the store.
-	newsSlack = 400 * time.Millisecond
-	// newsAge is the age of the store's confirmation up to which a peer's news
-	// count as current: that of a reader whose connection to the store has just
-	// gone silent, and a round trip.
-	newsAge = WatchWait + answerSlack + 100*time.Millisecond
-	// roleEvery is the interval at which a reader looks whether it still is one.
-	roleEvery = 500 * time.Millisecond
-)
+// roleEvery is the interval at which a reader looks whether it still is one.
+const roleEvery = 500 * time.Millisecond
 
 // Peers asks other balancers for news.
 type Peers interface {
@@ -68,7 +56,7 @@
 			f.read(ctx, true, "reader="+reader.Name+" err="+err.Error())
 			f.Peers.Forget()
 			loop.Sleep(ctx, limit.Backoff(failed, retryFirst, retryMost, rnd))
-		case news.Away || max(news.RoutingAge, news.ListAge) > newsAge:
+		case news.Away || max(news.RoutingAge, news.ListAge) > f.timing.newsAge:
 			failed = 0
 			f.read(ctx, true, "reader="+reader.Name+" reason=news_not_current")
 			f.push(news)
@@ -83,10 +71,10 @@
 }
 
 func (f *Feed) news(ctx context.Context, reader model.Balancer) (query.News, error) {
-	ctx, cancel := context.WithTimeout(ctx, newsWait+newsSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.timing.newsLimit)
 	defer cancel()
 	routing, list := f.Fleet.Revisions()
-	return f.Peers.WaitNews(ctx, reader.Fetch, routing, list, newsWait)
+	return f.Peers.WaitNews(ctx, reader.Fetch, routing, list, f.timing.newsWait)
 }
 
 // read opens or closes the gate and logs why.
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -107,15 +107,15 @@
 		Peer: s.Peer, Fetch: s.Peer, Capacity: s.Capacity,
 	}
 	a.engine.Direct = engine.Direct{
-		FlowLifetime: s.FlowLifetime,
-		Locality:     table.Locality{DataCentre: s.DataCentre, Regions: s.Regions},
+		FlowLifetime: s.FlowLifetime, ChangeBound: s.ChangeBound,
+		Locality: table.Locality{DataCentre: s.DataCentre, Regions: s.Regions},
 	}
 	var ctx context.Context
 	ctx, a.closeQueue = context.WithCancel(context.Background())
 	a.queue = worker.NewQueue(ctx, queueLength)
 	a.feed = feed.Feed{
 		Store: platform.NewStore(s.Store), Peers: peers.NewClient(fleetKey(s), time.Now), Fleet: a, Push: a.queue.Push, Event: a.event, Call: a.stats.call,
-		Seed: a.engine.Self.Incarnation,
+		Seed: a.engine.Self.Incarnation, Bound: s.ChangeBound,
 	}
 	if a.socket, err = dgram.Listen(s.Packets); err != nil {
 		return nil, err
