Bound pages of lists and not whole lists; bound lines about instances

Each host lists 3,000 instances, six pages, and the whole list had to be read within 1.5 s; the smallest hosts need longer, began again, and the questions to peers were bounded by 300 ms. A start also wrote 3,000 lines about instances. Pages are bounded now, peers get a second, lines about instances and balancers 100 a second after the first 300. Placement no longer copies what is known of each instance.

--- a/core/health/query.go
+++ b/core/health/query.go
@@ -37,7 +37,7 @@
 
 // Doubtful reports whether new flows avoid the upstream because its last
 // traffic is unanswered, or because it failed repeatedly of late.
-func (s State) Doubtful(now time.Time) bool {
+func (s *State) Doubtful(now time.Time) bool {
 	n := s.opens + s.requests
 	if s.failures >= relapse {
 		n = max(n, int(math.Round(s.failures)))
@@ -47,7 +47,7 @@
 
 // Shunned reports whether new flows avoid the upstream because several balancers
 // have seen it fail.
-func (s State) Shunned(now time.Time) bool {
+func (s *State) Shunned(now time.Time) bool {
 	return !s.confirmed.IsZero() && now.Sub(s.confirmed) < doubtTime(max(1, int(math.Round(s.failures))))
 }
 
@@ -57,13 +57,13 @@
 
 // Recovering reports whether the upstream failed of late, so that new flows
 // come back to it slowly.
-func (s State) Recovering(now time.Time) bool { return s.failuresAt(now) >= recovered }
+func (s *State) Recovering(now time.Time) bool { return s.failuresAt(now) >= recovered }
 
 // recovered is the number of failures of late below which an upstream counts as
 // well again: a single failure is forgotten after 5 s.
 const recovered = 0.5
 
-func (s State) failuresAt(now time.Time) float64 {
+func (s *State) failuresAt(now time.Time) float64 {
 	if s.failures == 0 {
 		return 0
 	}
@@ -71,7 +71,7 @@
 }
 
 // Latency returns the mean time of recent answers, or 0 when there were none.
-func (s State) Latency(now time.Time) time.Duration {
+func (s *State) Latency(now time.Time) time.Duration {
 	if now.Sub(s.answered) > latencyTime {
 		return 0
 	}
@@ -79,15 +79,15 @@
 }
 
 // AnsweredSince reports whether the upstream has answered a request after t.
-func (s State) AnsweredSince(t time.Time) bool { return s.answered.After(t) }
+func (s *State) AnsweredSince(t time.Time) bool { return s.answered.After(t) }
 
 // Concurrency returns the mean number of requests in progress of late: time
 // taken per time passed.
-func (s State) Concurrency(now time.Time) float64 {
+func (s *State) Concurrency(now time.Time) float64 {
 	return float64(s.takenAt(now)) * math.Ln2 / float64(takenHalf)
 }
 
-func (s State) takenAt(now time.Time) time.Duration {
+func (s *State) takenAt(now time.Time) time.Duration {
 	if s.taken == 0 {
 		return 0
 	}
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -28,7 +28,7 @@
 	for i, dc := range dataCentres {
 		list = append(list, model.InstanceChange{Instance: model.Instance{
 			ID: uint64(i + 1), Name: fmt.Sprintf("i-%d", i+1), Service: "desk", DataCentre: dc, Slots: 2,
-			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 8080),
+			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), uint16(8080+i>>8)),
 		}})
 	}
 	return (&table.Direct{}).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), table.Locality{DataCentre: "ain"})
--- a/core/table/upstream.go
+++ b/core/table/upstream.go
@@ -68,12 +68,17 @@
 	u.judged.Store(&judged)
 }
 
-// Judged returns what is known of the upstream; it takes no lock.
-func (u *Upstream) Judged() health.State {
+// unjudged is the state of an upstream of which nothing is known.
+var unjudged health.State
+
+// Judged returns what is known of the upstream; it takes no lock. The state must
+// not be changed. Placement asks for it many times for each instance, so it is
+// not copied.
+func (u *Upstream) Judged() *health.State {
 	if s := u.judged.Load(); s != nil {
-		return *s
+		return s
 	}
-	return health.State{}
+	return &unjudged
 }
 
 // TakeUntold returns the failures since the last call.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// listTimeout bounds one list call, which does not wait.
-	listTimeout = 1500 * time.Millisecond
+	// pageTimeout bounds one page of a list, which does not wait. When 300 hosts
+	// start at once, reading a page of 500 instances takes the smallest of them
+	// some hundred milliseconds; a bound on the whole list ended it again and again.
+	pageTimeout = 1500 * time.Millisecond
 	// groupPause is the pause after a change, so that one call fetches the changes
 	// that follow closely: instances register one by one when a deployment starts,
 	// and edits may come several a second. It is short against the bound for both.
@@ -68,7 +70,7 @@
 type source interface {
 	name() string
 	// list reads everything and returns the revision to watch from.
-	list(ctx context.Context, f platform.Freshness) (uint64, error)
+	list(ctx context.Context, l platform.List) (uint64, error)
 	// watch reads what changed after a revision.
 	watch(ctx context.Context, from uint64) (uint64, error)
 	// known returns a revision from which a watch misses nothing, or 0.
@@ -138,14 +140,17 @@
 
 // step makes one call: a list without a revision to watch from, else a watch.
 func (f *Feed) step(ctx context.Context, s source, at uint64, fresh platform.Freshness) (uint64, error) {
-	timeout, call := listTimeout, func(ctx context.Context) (uint64, error) { return s.list(ctx, fresh) }
-	if at > 0 {
-		timeout, call = f.timing.watchLimit, func(ctx context.Context) (uint64, error) { return s.watch(ctx, at) }
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	start := time.Now()
-	next, err := call(ctx)
+	next, err := f.call(ctx, s, at, fresh)
 	f.Call(time.Since(start), err == nil)
 	return next, err
 }
+
+func (f *Feed) call(ctx context.Context, s source, at uint64, fresh platform.Freshness) (uint64, error) {
+	if at == 0 {
+		return s.list(ctx, platform.List{Freshness: fresh, PageTimeout: pageTimeout})
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timing.watchLimit)
+	defer cancel()
+	return s.watch(ctx, at)
+}
--- a/io/feed/start.go
+++ b/io/feed/start.go
@@ -17,9 +17,9 @@
 	// startEvery is the interval at which it looks for other balancers, which
 	// membership finds one after the other.
 	startEvery = 50 * time.Millisecond
-	// startTimeout bounds one question: several round trips between data centres
-	// and the time that a slow host needs to answer.
-	startTimeout = 300 * time.Millisecond
+	// startTimeout bounds one question. Small hosts take some hundred milliseconds
+	// to hand out 3,000 instances, and several may ask the same one.
+	startTimeout = time.Second
 )
 
 // start learns routes and instances from any live balancer when neither the
--- a/io/feed/timing_test.go
+++ b/io/feed/timing_test.go
@@ -1,8 +1,11 @@
 package feed
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"egretdock/platform"
 )
 
 // Guards against waits that exceed the bound of a deployment: a silent store is
@@ -26,3 +29,28 @@
 		below("age of a silent reader's news", tm.watchLimit, tm.newsAge)
 	}
 }
+
+// listedSource notes how it is listed.
+type listedSource struct {
+	source
+	bounded bool
+	how     platform.List
+}
+
+func (l *listedSource) list(ctx context.Context, how platform.List) (uint64, error) {
+	_, l.bounded = ctx.Deadline()
+	l.how = how
+	return 1, nil
+}
+
+// Guards against a list of thousands of instances that is given up and begun
+// again for ever, because its pages together take longer than one answer may.
+func TestListHasNoBoundAsAWhole(t *testing.T) {
+	f, s := &Feed{timing: timingOf(0)}, &listedSource{}
+	if _, err := f.call(t.Context(), s, 0, platform.Stale); err != nil {
+		t.Fatal(err)
+	}
+	if s.bounded || s.how.PageTimeout <= 0 {
+		t.Errorf("list bounded as a whole: %v, page bounded by %v; want only pages bounded", s.bounded, s.how.PageTimeout)
+	}
+}
--- a/io/front/stats.go
+++ b/io/front/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,10 @@
 	// are counted; a balancer sees about 30 requests a second today.
 	successLines = 100
 	failureLines = 200
+	// beliefLines and beliefBurst bound the lines about instances and balancers. A
+	// start lists all of them: 150 today, and with 3,000 the lines would take a
+	// small host a second of its processor time before the first packet.
+	beliefLines, beliefBurst = 100, 300
 	// omittedEvery is the interval of the line about lines left out.
 	omittedEvery = time.Second
 	// sampleSize and sampleAlpha are those of go-metrics for the load average of
@@ -33,7 +38,9 @@
 	storeFailed            metrics.Counter
 	routesAge, listAge     metrics.Histogram
 	success, failure       *rate.Limiter
+	belief                 *rate.Limiter
 	successCut, failureCut atomic.Uint64
+	beliefCut              atomic.Uint64
 	app                    *App
 	reported               atomic.Int64
 }
@@ -54,6 +61,7 @@
 		listAge:     histogram("list_age_us"),
 		success:     rate.NewLimiter(successLines, successLines),
 		failure:     rate.NewLimiter(failureLines, failureLines),
+		belief:      rate.NewLimiter(beliefLines, beliefBurst),
 		app:         a,
 	}
 	gauge("packets_received", func() int64 { return int64(a.packets.Load()) })
@@ -93,20 +101,25 @@
 	s.observe(e)
 	switch e.Name {
 	case "flow_placed", "flow_opened", "request_carried":
-		if s.success.Allow() {
-			return true
-		}
-		s.successCut.Add(1)
-		return false
+		return allow(s.success, &s.successCut)
 	case "packet_dropped", "packet_repeated", "flow_reset", "flow_hedged", "flow_retried", "answer_overdue":
-		if s.failure.Allow() {
-			return true
-		}
-		s.failureCut.Add(1)
-		return false
-	default:
+		return allow(s.failure, &s.failureCut)
+	case "member_joined", "member_left":
+		return allow(s.belief, &s.beliefCut)
+	}
+	if strings.HasPrefix(e.Name, "instance_") {
+		return allow(s.belief, &s.beliefCut)
+	}
+	return true
+}
+
+// allow takes a line from a budget, or counts it as left out.
+func allow(budget *rate.Limiter, cut *atomic.Uint64) bool {
+	if budget.Allow() {
 		return true
 	}
+	cut.Add(1)
+	return false
 }
 
 // reportOmitted logs how many lines were left out, at most once a second.
@@ -116,9 +129,9 @@
 		return
 	}
 	s.reported.Store(now.UnixMilli())
-	ok, failed := s.successCut.Swap(0), s.failureCut.Swap(0)
-	if ok+failed > 0 {
-		log(effect.Event{Name: "lines_omitted", Detail: fmt.Sprintf("success=%d failure=%d", ok, failed)})
+	ok, failed, belief := s.successCut.Swap(0), s.failureCut.Swap(0), s.beliefCut.Swap(0)
+	if ok+failed+belief > 0 {
+		log(effect.Event{Name: "lines_omitted", Detail: fmt.Sprintf("success=%d failure=%d belief=%d", ok, failed, belief)})
 	}
 }
 
