--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -21,7 +21,7 @@
 func ApplyRouting(h *locks.Holder, now time.Time, s *table.Set, in *input.RoutesConfirmed, keep time.Duration) bool {
 	changed := false
 	s.UpdateDirect(h, func(d *table.DirectView) *table.DirectView {
-		if in.Routing.Revision > d.Routing.Revision {
+		if in.Routing.Supersedes(d.Routing) {
 			d, changed = d.WithRouting(in.Routing.WithPrevious(d.Routing, now, keep)), true
 		}
 		return d.WithRoutingConfirmed(latest(d.RoutingConfirmed, now.Add(-in.Age)))
--- a/core/cmds/direct_test.go
+++ b/core/cmds/direct_test.go
@@ -16,9 +16,9 @@
 
 // withInstance lists instance 1, started at startMillis, and returns its backend.
 func withInstance(s *table.Set, h *locks.Holder, startMillis, revision uint64) *table.Backend {
-	in := model.Instance{ID: 1, Name: "i-1", Service: "desk", Slots: 2, StartMillis: startMillis, Revision: revision, Endpoint: netip.MustParseAddrPort("10.0.0.1:80")}
+	in := model.Instance{ID: 1, Name: "i-1", Service: "desk", Slots: 2, StartMillis: startMillis, Position: model.Position{Revision: revision}, Endpoint: netip.MustParseAddrPort("10.0.0.1:80")}
 	UpdateRoster(h, s, table.Locality{}, func(r roster.Roster) (roster.Roster, bool) {
-		return r.WithList(listedAt, []model.InstanceChange{{Instance: in}}, revision), true
+		return r.WithList(listedAt, []model.InstanceChange{{Instance: in}}, in.Position), true
 	})
 	b, _ := s.Direct().Backend(1)
 	return b
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -80,8 +80,9 @@
 	Flow     uint64
 	Customer string
 	Upstream string
-	// Revision is the revision of the configuration or of the routes, or 0.
-	Revision uint64
+	// Revision is the revision of the configuration or of the routes, or 0, and Era
+	// the era of the store that it belongs to.
+	Revision, Era uint64
 	// Detail gives the reason or further key=value pairs.
 	Detail string
 
@@ -93,10 +94,10 @@
 	Service string
 	// Age is the time since the store confirmed Revision.
 	Age time.Duration
-	// ListRevision is the revision of the list of instances, and ListAge the time
-	// since the store confirmed it.
-	ListRevision uint64
-	ListAge      time.Duration
+	// ListRevision is the revision of the list of instances, ListEra its era, and
+	// ListAge the time since the store confirmed it.
+	ListRevision, ListEra uint64
+	ListAge               time.Duration
 	// Elapsed is the duration of the reported operation.
 	Elapsed time.Duration
 	// Load is the load of the chosen instance, and Candidates the number of
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -116,7 +116,7 @@
 
 func (e *Engine) flowOpen(w *WorkerState, now time.Time, s *packet.Segment) {
 	d := e.Tables.Direct()
-	if d.Routing.Revision == 0 {
+	if d.Routing.Position.IsZero() {
 		e.reportDecision(w, now, d, s, "packet_dropped", "no_routes", query.Choice{})
 		return
 	}
@@ -240,8 +240,8 @@
 	ev := &effect.Event{
 		Name: name, Detail: reason,
 		Client: s.Flow.Client, Address: s.Flow.Address, Request: string(s.Request),
-		Revision: d.Routing.Revision, Age: ageAt(now, d.RoutingConfirmed),
-		ListRevision: d.Roster.Revision, ListAge: ageAt(now, d.RosterConfirmed),
+		Revision: d.Routing.Position.Revision, Era: d.Routing.Position.Era, Age: ageAt(now, d.RoutingConfirmed),
+		ListRevision: d.Roster.Position.Revision, ListEra: d.Roster.Position.Era, ListAge: ageAt(now, d.RosterConfirmed),
 		Load: c.Load, Candidates: c.Candidates,
 	}
 	if c.Backend != nil {
--- a/core/engine/direct_test.go
+++ b/core/engine/direct_test.go
@@ -74,14 +74,14 @@
 	for _, a := range addresses {
 		routes = append(routes, model.Route{Address: a, Services: []model.WeightedService{{Service: "desk", Weight: 1}}, Idempotent: a != deskAddress})
 	}
-	f.handle(&input.RoutesConfirmed{Routing: model.Routing{Revision: f.routesRevision, IdleTimeout: 15 * time.Second}.WithRoutes(routes)})
+	f.handle(&input.RoutesConfirmed{Routing: model.Routing{Position: model.Position{Revision: f.routesRevision}, IdleTimeout: 15 * time.Second}.WithRoutes(routes)})
 }
 
 func (f *directHarness) setInstances(ins ...model.Instance) {
 	f.listRevision++
-	in := &input.InstancesListed{Revision: f.listRevision}
+	in := &input.InstancesListed{Position: model.Position{Revision: f.listRevision}}
 	for _, i := range ins {
-		i.Revision = f.listRevision
+		i.Position = model.Position{Revision: f.listRevision}
 		in.Entries = append(in.Entries, model.InstanceChange{Instance: i})
 	}
 	f.handle(in)
@@ -89,8 +89,8 @@
 
 func (f *directHarness) changeInstance(kind model.ChangeKind, i model.Instance) {
 	f.listRevision++
-	i.Revision = f.listRevision
-	f.handle(&input.InstancesChanged{Revision: f.listRevision, Changes: []model.InstanceChange{{Kind: kind, Instance: i}}})
+	i.Position = model.Position{Revision: f.listRevision}
+	f.handle(&input.InstancesChanged{Position: model.Position{Revision: f.listRevision}, Changes: []model.InstanceChange{{Kind: kind, Instance: i}}})
 }
 
 // opaqueFlow is the client's side of an opaque flow.
@@ -449,7 +449,7 @@
 		}
 		return out
 	}
-	list := &input.InstancesListed{Revision: 7}
+	list := &input.InstancesListed{Position: model.Position{Revision: 7}}
 	for _, in := range instances {
 		list.Entries = append(list.Entries, model.InstanceChange{Instance: in})
 	}
@@ -457,8 +457,8 @@
 		t.Errorf("the first list is reported as %q, want one event", got)
 	}
 	gone := instances[0]
-	gone.Draining, gone.Revision = true, 8
-	if got := events(&input.InstancesChanged{Revision: 8, Changes: []model.InstanceChange{{Instance: gone}}}); len(got) != 1 || !strings.HasPrefix(got[0], "instance_draining ") {
+	gone.Draining, gone.Position = true, model.Position{Revision: 8}
+	if got := events(&input.InstancesChanged{Position: gone.Position, Changes: []model.InstanceChange{{Instance: gone}}}); len(got) != 1 || !strings.HasPrefix(got[0], "instance_draining ") {
 		t.Errorf("a change is reported as %q, want instance_draining", got)
 	}
 }
--- a/core/engine/finding.go
+++ b/core/engine/finding.go
@@ -45,9 +45,10 @@
 // receiveFindings applies the findings of another balancer.
 func (e *Engine) receiveFindings(w *WorkerState, now time.Time, m *member.Findings) {
 	for _, b := range cmds.ApplyPeerFindings(&w.locks, now, &e.Tables, m.From, m.List) {
+		at := e.Tables.Direct().Roster.Position
 		w.Out.Add(&effect.Event{
 			Name: "instance_shunned", Upstream: b.Instance.Name, Service: b.Instance.Service,
-			ListRevision: e.Tables.Direct().Roster.Revision, Detail: "teller=" + m.From.Name,
+			ListRevision: at.Revision, ListEra: at.Era, Detail: "teller=" + m.From.Name,
 		})
 	}
 }
--- a/core/engine/store.go
+++ b/core/engine/store.go
@@ -10,23 +10,38 @@
 	"egretdock/core/cmds"
 	"egretdock/core/effect"
 	"egretdock/core/input"
+	"egretdock/core/model"
 	"egretdock/core/roster"
 	"egretdock/core/table"
 )
 
 func (e *Engine) confirmRoutes(w *WorkerState, now time.Time, in *input.RoutesConfirmed) {
 	if !cmds.ApplyRouting(&w.locks, now, &e.Tables, in, e.Direct.FlowLifetime) {
+		reportKeptRoutes(w, e.Tables.Direct().Routing, in.Routing)
 		return
 	}
 	w.Out.Add(&effect.Event{
-		Name: "routes_in_force", Revision: in.Routing.Revision,
+		Name: "routes_in_force", Revision: in.Routing.Position.Revision, Era: in.Routing.Position.Era,
 		Detail: "version=" + strconv.FormatUint(in.Routing.Version, 10) + " routes=" + strconv.Itoa(in.Routing.Len()),
 	})
 }
 
+// reportKeptRoutes reports that the routes in force stay although other ones
+// arrived.
+func reportKeptRoutes(w *WorkerState, kept, offered model.Routing) {
+	if offered.Position.IsZero() || offered.Position == kept.Position && offered.Version == kept.Version {
+		return
+	}
+	w.Out.Add(&effect.Event{
+		Name: "routes_kept", Revision: kept.Position.Revision, Era: kept.Position.Era,
+		Detail: "version=" + strconv.FormatUint(kept.Version, 10) +
+			" offered_version=" + strconv.FormatUint(offered.Version, 10) + " offered=" + offered.Position.String(),
+	})
+}
+
 func (e *Engine) replaceInstances(w *WorkerState, now time.Time, in *input.InstancesListed) {
 	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
-		return r.WithList(now, in.Entries, in.Revision), true
+		return r.WithList(now, in.Entries, in.Position), true
 	})
 	cmds.ConfirmRoster(&w.locks, now.Add(-in.Age), &e.Tables)
 }
@@ -34,7 +49,7 @@
 func (e *Engine) changeInstances(w *WorkerState, now time.Time, in *input.InstancesChanged) {
 	if len(in.Changes) > 0 {
 		e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) {
-			return r.WithChanges(now, in.Changes, in.Revision), true
+			return r.WithChanges(now, in.Changes, in.Position), true
 		})
 	}
 	cmds.ConfirmRoster(&w.locks, now.Add(-in.Age), &e.Tables)
@@ -56,7 +71,7 @@
 		return
 	}
 	after := e.Tables.Direct()
-	if before.Roster.Revision == 0 {
+	if before.Roster.Position.IsZero() {
 		reportFirstList(w, after)
 		return
 	}
@@ -71,15 +86,15 @@
 		}
 		w.Out.Add(&effect.Event{
 			Name: "instance_" + b.Status.String(), Upstream: b.Instance.Name, Service: b.Instance.Service,
-			ListRevision: after.Roster.Revision,
-			Detail:       "before=" + from + " endpoint=" + b.Instance.Endpoint.String() + " data_centre=" + b.Instance.DataCentre,
+			ListRevision: after.Roster.Position.Revision, ListEra: after.Roster.Position.Era,
+			Detail: "before=" + from + " endpoint=" + b.Instance.Endpoint.String() + " data_centre=" + b.Instance.DataCentre,
 		})
 	}
 }
 
 // reportFirstList reports how many instances of each status the first list has.
 func reportFirstList(w *WorkerState, d *table.DirectView) {
-	if d.Roster.Revision == 0 {
+	if d.Roster.Position.IsZero() {
 		return
 	}
 	counts := make(map[roster.Status]int)
@@ -90,5 +105,5 @@
 	for _, s := range slices.Sorted(maps.Keys(counts)) {
 		detail = append(detail, s.String()+"="+strconv.Itoa(counts[s]))
 	}
-	w.Out.Add(&effect.Event{Name: "instances_listed", ListRevision: d.Roster.Revision, Detail: strings.Join(detail, " ")})
+	w.Out.Add(&effect.Event{Name: "instances_listed", ListRevision: d.Roster.Position.Revision, ListEra: d.Roster.Position.Era, Detail: strings.Join(detail, " ")})
 }
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -98,7 +98,7 @@
 type FlowEnd struct{ Segment packet.Segment }
 
 // RoutesConfirmed reports that the store confirmed the routes of opaque flows.
-// Routing has revision 0 when nothing has changed.
+// Routing has no position when nothing has changed.
 type RoutesConfirmed struct {
 	Routing model.Routing
 	// Age is the time since the store's answer if another balancer passed it on,
@@ -109,16 +109,16 @@
 // InstancesListed delivers the full list of instances. Entries that can't be
 // read have the kind ChangeUnreadable.
 type InstancesListed struct {
-	Revision uint64
+	Position model.Position
 	Entries  []model.InstanceChange
 	// Age is as in RoutesConfirmed.
 	Age time.Duration
 }
 
-// InstancesChanged delivers the changes of the list of instances up to Revision.
+// InstancesChanged delivers the changes of the list of instances up to Position.
 // Without changes, it confirms the list.
 type InstancesChanged struct {
-	Revision uint64
+	Position model.Position
 	Changes  []model.InstanceChange
 	// Age is as in RoutesConfirmed.
 	Age time.Duration
--- a/core/model/instance.go
+++ b/core/model/instance.go
@@ -27,8 +27,10 @@
 	// StartMillis is its start in milliseconds since the Unix epoch, by its own
 	// clock; it distinguishes two starts under one ID. 0 means unknown.
 	StartMillis uint64
-	// Revision is that of the entry's last change.
-	Revision uint64
+	// Sequence numbers what the instance has written to its entry since its start.
+	Sequence uint64
+	// Position is that of the entry's last change.
+	Position Position
 }
 
 // ChangeKind is what happened to the entry of an instance.
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -60,12 +60,12 @@
 	return ""
 }
 
-// Routing is the configuration of routes for opaque flows at one revision. It
+// Routing is the configuration of routes for opaque flows at one position. It
 // is immutable; the zero value routes nothing.
 type Routing struct {
-	// Revision orders routings; a higher one replaces a lower one.
-	Revision uint64
-	// Version is the number that the operator gave it, for the log.
+	// Position is that of the last change of the configuration.
+	Position Position
+	// Version is the number that the operator gave it; later ones are higher.
 	Version uint64
 	// IdleTimeout is the time after which the state of an idle flow may be
 	// removed; 0 means never.
@@ -90,6 +90,9 @@
 	return ok
 }
 
+// Supersedes reports whether r replaces another routing.
+func (r Routing) Supersedes(old Routing) bool { return r.Position.After(old.Position) }
+
 // WithPrevious returns a copy that records which routes of the previous routing
 // were removed. Records older than keep are discarded, so that they do not
 // accumulate over the life of a process.
--- a/core/query/direct.go
+++ b/core/query/direct.go
@@ -32,7 +32,7 @@
 // balancer saw the flow open, else the one that its token names. A flow that
 // another balancer opened needs no local state.
 func Resolve(d *table.DirectView, s *packet.Segment, t table.Track, tracked bool) Target {
-	if d.Routing.Revision == 0 {
+	if d.Routing.Position.IsZero() {
 		return TargetUnknown{Reason: "no_routes"}
 	}
 	route, ok := d.Routing.Route(s.Flow.Address)
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -32,7 +32,7 @@
 			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), uint16(8080+i>>8)),
 		}})
 	}
-	return (&table.DirectView{}).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), table.Locality{DataCentre: "ain"})
+	return (&table.DirectView{}).WithRoster(roster.Roster{}.WithList(placeStart, list, model.Position{Revision: 1}), table.Locality{DataCentre: "ain"})
 }
 
 func flowID(i int) packet.FlowID {
@@ -175,7 +175,7 @@
 	d := view("ain", "ain")
 	place(t, d, orders, FleetSize{DataCentres: 1, Balancers: 1}, placeStart, 100)
 	added := model.InstanceChange{Instance: model.Instance{ID: 9, Name: "i-9", Service: "desk", DataCentre: "ain", Slots: 2, Endpoint: netip.MustParseAddrPort("10.0.0.9:8080")}}
-	d = d.WithRoster(d.Roster.WithChanges(placeStart, []model.InstanceChange{added}, 2), table.Locality{DataCentre: "ain"})
+	d = d.WithRoster(d.Roster.WithChanges(placeStart, []model.InstanceChange{added}, model.Position{Revision: 2}), table.Locality{DataCentre: "ain"})
 	b, _ := d.Backend(9)
 	if n := b.State.RecentPlacements(); n != 50 {
 		t.Errorf("a new instance starts with %d placed flows, want the mean of 50", n)
@@ -250,8 +250,8 @@
 		}})
 	}
 	address := flowID(0).Address
-	routing := model.Routing{Revision: 1}.WithRoutes([]model.Route{{Address: address, Services: orders.Services}})
-	d := (&table.DirectView{}).WithRouting(routing).WithRoster(roster.Roster{}.WithList(placeStart, list, 1), table.Locality{DataCentre: "ain"})
+	routing := model.Routing{Position: model.Position{Revision: 1}}.WithRoutes([]model.Route{{Address: address, Services: orders.Services}})
+	d := (&table.DirectView{}).WithRouting(routing).WithRoster(roster.Roster{}.WithList(placeStart, list, model.Position{Revision: 1}), table.Locality{DataCentre: "ain"})
 	s := &packet.Segment{Flow: flowID(0), Token: table.Token(first)}
 	if got, ok := Resolve(d, s, table.Track{}, false).(TargetUnknown); !ok || got.Reason != "token_ambiguous" {
 		t.Errorf("an ambiguous token resolves to %+v", got)
--- a/core/query/news.go
+++ b/core/query/news.go
@@ -13,13 +13,31 @@
 	"egretdock/core/table"
 )
 
+// InForce says which routes and instances a balancer has in force. It is
+// immutable.
+type InForce struct {
+	// Version and Routing are the version and the position of the routes.
+	Version uint64
+	Routing model.Position
+	// List is the position of the list of instances.
+	List model.Position
+}
+
+// InForceOf returns what a view has in force.
+func InForceOf(d *table.DirectView) InForce {
+	return InForce{Version: d.Routing.Version, Routing: d.Routing.Position, List: d.Roster.Position}
+}
+
+// Complete reports whether both routes and instances are known.
+func (i InForce) Complete() bool { return !i.Routing.IsZero() && !i.List.IsZero() }
+
 // News is an update of routes and instances for a balancer that has older
-// revisions. It is immutable.
+// ones. It is immutable.
 type News struct {
-	// Routing has revision 0 when the receiver's routes are up to date.
+	// Routing has no position when the receiver's routes are up to date.
 	Routing model.Routing
-	// ListRevision is the revision of the instance list with Entries applied.
-	ListRevision uint64
+	// ListPosition is that of the instance list with Entries applied.
+	ListPosition model.Position
 	// FullList is true when Entries are the full list instead of changes.
 	FullList bool
 	Entries  []model.InstanceChange
@@ -32,20 +50,21 @@
 
 // Empty reports whether the news only confirms what the receiver has.
 func (n News) Empty() bool {
-	return n.Routing.Revision == 0 && len(n.Entries) == 0 && !n.FullList && !n.StoreUnavailable
+	return n.Routing.Position.IsZero() && len(n.Entries) == 0 && !n.FullList && !n.StoreUnavailable
 }
 
-// NewsAfter returns the news for a balancer that has the given revisions.
-func NewsAfter(d *table.DirectView, routing, list uint64, now time.Time) News {
+// NewsAfter returns the news for a balancer that has older routes or instances in
+// force.
+func NewsAfter(d *table.DirectView, known InForce, now time.Time) News {
 	n := News{
-		ListRevision: d.Roster.Revision, StoreUnavailable: d.Roster.StoreUnavailable,
+		ListPosition: d.Roster.Position, StoreUnavailable: d.Roster.StoreUnavailable,
 		RoutingAge: now.Sub(d.RoutingConfirmed), ListAge: now.Sub(d.RosterConfirmed),
 	}
-	if d.Routing.Revision > routing {
+	if d.Routing.Supersedes(model.Routing{Version: known.Version, Position: known.Routing}) {
 		n.Routing = d.Routing
 	}
-	if d.Roster.Revision > list {
-		n.Entries, n.FullList = d.Roster.ChangesSince(list)
+	if d.Roster.Position.After(known.List) {
+		n.Entries, n.FullList = d.Roster.ChangesSince(known.List)
 	}
 	return n
 }
--- a/core/query/place_bench_test.go
+++ b/core/query/place_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"egretdock/core/model"
 	"egretdock/core/table"
 )
 
@@ -39,7 +40,7 @@
 			d := view(where...)
 			b.ReportAllocs()
 			for b.Loop() {
-				d = d.WithRoster(d.Roster.WithChanges(placeStart, nil, 2), table.Locality{DataCentre: "ain"})
+				d = d.WithRoster(d.Roster.WithChanges(placeStart, nil, model.Position{Revision: 2}), table.Locality{DataCentre: "ain"})
 			}
 		})
 	}
--- a/core/roster/bench_test.go
+++ b/core/roster/bench_test.go
@@ -18,16 +18,16 @@
 			list := make([]model.InstanceChange, 0, n)
 			for i := range n {
 				list = append(list, model.InstanceChange{Instance: model.Instance{
-					ID: uint64(i + 1), Name: fmt.Sprintf("i-%x", i+1), Service: "desk", Slots: 2, Revision: 1,
+					ID: uint64(i + 1), Name: fmt.Sprintf("i-%x", i+1), Service: "desk", Slots: 2, Position: at(1),
 					Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
 				}})
 			}
-			lapsed := Roster{}.WithList(now, list, 1).WithList(now, nil, 2)
+			lapsed := Roster{}.WithList(now, list, at(1)).WithList(now, nil, at(2))
 			for i := range list {
-				list[i].Instance.Revision = 3
+				list[i].Instance.Position = at(3)
 			}
 			for b.Loop() {
-				lapsed.WithChanges(now, list, 3)
+				lapsed.WithChanges(now, list, at(3))
 			}
 		})
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -62,25 +62,25 @@
 type Member struct {
 	Instance model.Instance
 	Status   Status
-	// ChangeRevision is the list revision at which this balancer last saw the
-	// entry change.
-	ChangeRevision uint64
+	// ChangePosition is the position of the list at which this balancer last saw
+	// the entry change.
+	ChangePosition model.Position
 	// StatusSince is when this balancer learned of the status.
 	StatusSince time.Time
 }
 
-// Roster is the set of known instances at one revision of the list. It is
+// Roster is the set of known instances at one position of the list. It is
 // immutable; the zero value is empty.
 type Roster struct {
-	// Revision is that of the last list or change applied; it never decreases.
-	Revision uint64
+	// Position is that of the last list or change applied; it never decreases.
+	Position model.Position
 	// StoreUnavailable is true while the store does not answer. No member expires
 	// meanwhile.
 	StoreUnavailable bool
 	// StoreRecoveredAt is when the store last began to answer again.
 	StoreRecoveredAt time.Time
-	// ForgottenRevision is the highest ChangeRevision of the forgotten members.
-	ForgottenRevision uint64
+	// ForgottenPosition is the latest ChangePosition of the forgotten members.
+	ForgottenPosition model.Position
 
 	members map[uint64]Member
 }
@@ -94,13 +94,13 @@
 	return m, ok
 }
 
-// WithList returns a copy with the full list at a revision applied. A list that
+// WithList returns a copy with the full list at a position applied. A list that
 // is older than r is ignored.
-func (r Roster) WithList(now time.Time, list []model.InstanceChange, revision uint64) Roster {
-	if revision < r.Revision {
+func (r Roster) WithList(now time.Time, list []model.InstanceChange, position model.Position) Roster {
+	if position.Before(r.Position) {
 		return r
 	}
-	e := r.edit(now, revision)
+	e := r.edit(now, position)
 	listed := make(map[uint64]bool, len(list))
 	for _, c := range list {
 		listed[c.Instance.ID] = true
@@ -114,17 +114,17 @@
 	return e.done()
 }
 
-// WithChanges returns a copy with the changes up to a revision applied. Changes
+// WithChanges returns a copy with the changes up to a position applied. Changes
 // that are older than r are ignored.
-func (r Roster) WithChanges(now time.Time, changes []model.InstanceChange, revision uint64) Roster {
-	if revision < r.Revision {
+func (r Roster) WithChanges(now time.Time, changes []model.InstanceChange, position model.Position) Roster {
+	if position.Before(r.Position) {
 		return r
 	}
 	if len(changes) == 0 {
-		r.Revision = revision
+		r.Position = position
 		return r
 	}
-	e := r.edit(now, revision)
+	e := r.edit(now, position)
 	for _, c := range changes {
 		e.apply(c)
 	}
@@ -143,7 +143,7 @@
 		return r
 	}
 	r.StoreRecoveredAt = now
-	e := r.edit(now, r.Revision)
+	e := r.edit(now, r.Position)
 	for id, m := range e.next {
 		if m.Status == StatusLapsed || m.Status == StatusDeparting {
 			m.StatusSince = now
@@ -169,10 +169,10 @@
 			continue
 		}
 		if e == nil {
-			e = r.edit(now, r.Revision)
+			e = r.edit(now, r.Position)
 		}
 		if retentionOver {
-			e.roster.ForgottenRevision = max(e.roster.ForgottenRevision, m.ChangeRevision)
+			e.roster.ForgottenPosition = e.roster.ForgottenPosition.WithLatest(m.ChangePosition)
 			delete(e.next, id)
 		} else {
 			m.Status, m.StatusSince = StatusGone, now
@@ -190,19 +190,19 @@
 	roster Roster
 	next   map[uint64]Member
 	now    time.Time
-	// revision is the revision of the list after the edit.
-	revision uint64
+	// position is that of the list after the edit.
+	position model.Position
 }
 
-func (r Roster) edit(now time.Time, revision uint64) *edit {
+func (r Roster) edit(now time.Time, position model.Position) *edit {
 	next := make(map[uint64]Member, len(r.members)+1)
 	maps.Copy(next, r.members)
-	return &edit{roster: r, next: next, now: now, revision: revision}
+	return &edit{roster: r, next: next, now: now, position: position}
 }
 
 func (e *edit) done() Roster {
 	e.roster.members = e.next
-	e.roster.Revision = max(e.roster.Revision, e.revision)
+	e.roster.Position = e.roster.Position.WithLatest(e.position)
 	return e.roster
 }
 
@@ -221,12 +221,12 @@
 
 func (e *edit) put(in model.Instance) {
 	old, known := e.next[in.ID]
-	if known && old.Instance.Revision > in.Revision {
+	if known && old.Instance.Position.After(in.Position) {
 		return
 	}
-	m := Member{Instance: in, StatusSince: e.now, ChangeRevision: e.revision}
+	m := Member{Instance: in, StatusSince: e.now, ChangePosition: e.position}
 	if known && old.Instance == in {
-		m.ChangeRevision = old.ChangeRevision
+		m.ChangePosition = old.ChangePosition
 	}
 	if in.Draining {
 		m.Status = StatusDraining
@@ -247,7 +247,7 @@
 // address of another one.
 func reusesAddress(m, other Member) bool {
 	return m.Status == StatusReady && m.Instance.Endpoint == other.Instance.Endpoint &&
-		m.Instance.ID != other.Instance.ID && m.Instance.Revision > other.Instance.Revision
+		m.Instance.ID != other.Instance.ID && m.Instance.Position.After(other.Instance.Position)
 }
 
 // addressReused reports whether a ready instance with a newer entry has the
@@ -288,17 +288,17 @@
 
 func (e *edit) setStatus(id uint64, s Status) {
 	m := e.next[id]
-	m.Status, m.StatusSince, m.ChangeRevision = s, e.now, e.revision
+	m.Status, m.StatusSince, m.ChangePosition = s, e.now, e.position
 	e.next[id] = m
 }
 
-// ChangesSince returns the entries that changed after a revision, for a balancer
-// that is at that revision. full is true when they are the full list, because
-// removals after that revision may have been forgotten.
-func (r Roster) ChangesSince(revision uint64) (changes []model.InstanceChange, full bool) {
-	full = revision < r.ForgottenRevision || revision == 0
+// ChangesSince returns the entries that changed after a position, for a balancer
+// that is at that position. full is true when they are the full list, because
+// removals after that position may have been forgotten.
+func (r Roster) ChangesSince(position model.Position) (changes []model.InstanceChange, full bool) {
+	full = position.Before(r.ForgottenPosition) || position.IsZero()
 	for _, m := range r.members {
-		if !full && m.ChangeRevision <= revision {
+		if !full && !m.ChangePosition.After(position) {
 			continue
 		}
 		c := model.InstanceChange{Instance: m.Instance}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -13,9 +13,12 @@
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
+// at returns the position of a revision in the first era.
+func at(revision uint64) model.Position { return model.Position{Era: 1, Revision: revision} }
+
 func instance(id uint64, revision uint64) model.Instance {
 	return model.Instance{
-		ID: id, Name: fmt.Sprintf("i-%x", id), Service: "desk", Slots: 2, Revision: revision,
+		ID: id, Name: fmt.Sprintf("i-%x", id), Service: "desk", Slots: 2, Position: at(revision),
 		Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 8080),
 	}
 }
@@ -66,7 +69,7 @@
 // Guards against the loss of all instances when their entries lapse while the
 // store is unavailable.
 func TestLapsedEntries(t *testing.T) {
-	r := Roster{}.WithList(start, list(1, 2), 10).WithList(start, list(2), 11)
+	r := Roster{}.WithList(start, list(1, 2), at(10)).WithList(start, list(2), at(11))
 	t.Run("kept for the grace", func(t *testing.T) {
 		assertStatus(t, after(t, r, OpenFlowGrace-1), 1, StatusLapsed)
 	})
@@ -74,7 +77,7 @@
 		assertStatus(t, after(t, r, OpenFlowGrace), 1, StatusGone)
 	})
 	t.Run("returned", func(t *testing.T) {
-		back := r.WithChanges(start, []model.InstanceChange{written(instance(1, 12))}, 12)
+		back := r.WithChanges(start, []model.InstanceChange{written(instance(1, 12))}, at(12))
 		assertStatus(t, after(t, back, time.Hour), 1, StatusReady)
 	})
 	t.Run("kept while the store is unavailable", func(t *testing.T) {
@@ -92,18 +95,18 @@
 
 // Guards against new flows to an instance that has announced its end.
 func TestDraining(t *testing.T) {
-	r := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{draining(instance(1, 11))}, 11)
+	r := Roster{}.WithList(start, list(1), at(10)).WithChanges(start, []model.InstanceChange{draining(instance(1, 11))}, at(11))
 	assertStatus(t, r, 1, StatusDraining)
-	assertStatus(t, r.WithChanges(start, []model.InstanceChange{removed(1)}, 12), 1, StatusGone)
+	assertStatus(t, r.WithChanges(start, []model.InstanceChange{removed(1)}, at(12)), 1, StatusGone)
 	// Guards against resets of the flows of an instance that still serves when
 	// its entry lapsed while the store was unavailable.
 	t.Run("store unavailable", func(t *testing.T) {
-		back := r.WithStoreUnavailable(start, true).WithList(start, nil, 12)
+		back := r.WithStoreUnavailable(start, true).WithList(start, nil, at(12))
 		assertStatus(t, back, 1, StatusDeparting)
 		back = back.WithStoreUnavailable(start, false)
 		assertStatus(t, after(t, back, OpenFlowGrace-1), 1, StatusDeparting)
 		assertStatus(t, after(t, back, OpenFlowGrace), 1, StatusGone)
-		again := back.WithChanges(start, []model.InstanceChange{draining(instance(1, 13))}, 13)
+		again := back.WithChanges(start, []model.InstanceChange{draining(instance(1, 13))}, at(13))
 		assertStatus(t, again, 1, StatusDraining)
 	})
 }
@@ -114,36 +117,36 @@
 func TestReusedAddress(t *testing.T) {
 	next := instance(2, 11)
 	next.Endpoint = instance(1, 10).Endpoint
-	both := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{written(next)}, 11)
+	both := Roster{}.WithList(start, list(1), at(10)).WithChanges(start, []model.InstanceChange{written(next)}, at(11))
 	t.Run("while the entry is listed", func(t *testing.T) {
 		assertStatus(t, both, 1, StatusReady)
 		assertStatus(t, both, 2, StatusReady)
 	})
 	t.Run("entry vanishes later", func(t *testing.T) {
-		assertStatus(t, both.WithChanges(start, []model.InstanceChange{removed(1)}, 12), 1, StatusGone)
+		assertStatus(t, both.WithChanges(start, []model.InstanceChange{removed(1)}, at(12)), 1, StatusGone)
 	})
 	t.Run("entry vanished before", func(t *testing.T) {
-		r := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{removed(1)}, 10)
+		r := Roster{}.WithList(start, list(1), at(10)).WithChanges(start, []model.InstanceChange{removed(1)}, at(10))
 		assertStatus(t, r, 1, StatusLapsed)
-		assertStatus(t, r.WithChanges(start, []model.InstanceChange{written(next)}, 11), 1, StatusGone)
+		assertStatus(t, r.WithChanges(start, []model.InstanceChange{written(next)}, at(11)), 1, StatusGone)
 	})
 }
 
 // Guards against resets of the flows of an instance whose entry another writer
 // has overwritten.
 func TestUnreadableEntry(t *testing.T) {
-	r := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{unreadable(1), unreadable(9)}, 11)
+	r := Roster{}.WithList(start, list(1), at(10)).WithChanges(start, []model.InstanceChange{unreadable(1), unreadable(9)}, at(11))
 	assertStatus(t, after(t, r, time.Hour), 1, StatusUnreadable)
 	assertForgotten(t, r, 9)
 }
 
 // Guards against a delayed answer that restores an older state.
 func TestOlderAnswers(t *testing.T) {
-	r := Roster{}.WithList(start, list(1), 10).WithChanges(start, []model.InstanceChange{draining(instance(1, 11))}, 11)
-	assertStatus(t, r.WithList(start, list(1), 10), 1, StatusDraining)
-	assertStatus(t, r.WithList(start, nil, 9), 1, StatusDraining)
-	assertStatus(t, r.WithChanges(start, list(1), 10), 1, StatusDraining)
-	assertStatus(t, r.WithChanges(start, list(1), 11), 1, StatusDraining)
+	r := Roster{}.WithList(start, list(1), at(10)).WithChanges(start, []model.InstanceChange{draining(instance(1, 11))}, at(11))
+	assertStatus(t, r.WithList(start, list(1), at(10)), 1, StatusDraining)
+	assertStatus(t, r.WithList(start, nil, at(9)), 1, StatusDraining)
+	assertStatus(t, r.WithChanges(start, list(1), at(10)), 1, StatusDraining)
+	assertStatus(t, r.WithChanges(start, list(1), at(11)), 1, StatusDraining)
 }
 
 // Guards against a restart under the same ID that goes unnoticed, so that the
@@ -151,7 +154,7 @@
 func TestRestartUnderSameID(t *testing.T) {
 	again := instance(1, 11)
 	again.StartMillis = 5
-	r := Roster{}.WithList(start, list(1), 10).WithChanges(start.Add(time.Second), []model.InstanceChange{written(again)}, 11)
+	r := Roster{}.WithList(start, list(1), at(10)).WithChanges(start.Add(time.Second), []model.InstanceChange{written(again)}, at(11))
 	if m, _ := r.Member(1); !m.StatusSince.Equal(start.Add(time.Second)) {
 		t.Errorf("status since %v, want it to begin with the restart", m.StatusSince)
 	}
@@ -172,7 +175,7 @@
 			change := rapid.SampledFrom([]model.InstanceChange{
 				written(instance(id, revision)), draining(instance(id, revision)), removed(id), unreadable(id),
 			}).Draw(t, "change")
-			a = a.WithChanges(now, []model.InstanceChange{change}, revision)
+			a = a.WithChanges(now, []model.InstanceChange{change}, at(revision))
 			a, _ = a.WithExpiry(now)
 			if rapid.Bool().Draw(t, "sync") {
 				b = syncFrom(a, b, now)
@@ -184,11 +187,11 @@
 }
 
 func syncFrom(from, to Roster, now time.Time) Roster {
-	changes, full := from.ChangesSince(to.Revision)
+	changes, full := from.ChangesSince(to.Position)
 	if full {
-		return to.WithList(now, changes, from.Revision)
+		return to.WithList(now, changes, from.Position)
 	}
-	return to.WithChanges(now, changes, from.Revision)
+	return to.WithChanges(now, changes, from.Position)
 }
 
 func assertSameUsable(t *rapid.T, a, b Roster) {
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -227,7 +227,7 @@
 		return false
 	}
 	s.direct.Store(next)
-	if s.directChanged != nil && (next.Routing.Revision != prev.Routing.Revision || next.Roster.Revision != prev.Roster.Revision || next.Roster.StoreUnavailable != prev.Roster.StoreUnavailable) {
+	if s.directChanged != nil && (next.Routing.Position != prev.Routing.Position || next.Roster.Position != prev.Roster.Position || next.Roster.StoreUnavailable != prev.Roster.StoreUnavailable) {
 		close(s.directChanged)
 		s.directChanged = nil
 	}
@@ -235,7 +235,7 @@
 }
 
 // WatchDirect returns the view of opaque flows and a channel that is closed
-// when the revision of its routes or instances changes, or the store becomes
+// when the position of its routes or instances changes, or the store becomes
 // reachable or unreachable.
 func (s *Set) WatchDirect(h *locks.Holder) (*DirectView, <-chan struct{}) {
 	s.viewMu.Lock(h, locks.RankView)
--- a/io/emul/objs/store.go
+++ b/io/emul/objs/store.go
@@ -55,7 +55,7 @@
 // PageSize is the maximum number of objects in one list answer.
 const PageSize = 50
 
-// Store is an http.Handler. The zero value is empty at revision 1.
+// Store is an http.Handler. The zero value is empty at revision 1 of era 1.
 type Store struct {
 	// Unanswered, if set, receives a value for each call that gets no answer. The
 	// call blocks while its buffer is full.
@@ -68,8 +68,10 @@
 	events  []Event
 	// compacted is the revision up to which the history is dropped.
 	compacted uint64
-	fault     Fault
-	calls     int
+	// restores counts the restores; the era is one higher.
+	restores uint64
+	fault    Fault
+	calls    int
 	// staleLists counts the lists with stale_ok; pinned is the state that they
 	// return, or nil for the current one.
 	staleLists int
@@ -78,23 +80,61 @@
 	changed chan struct{}
 }
 
-// state holds the objects at one revision.
+// state holds the objects after a number of changes.
 type state struct {
-	objects  map[string]map[string]Object
-	revision uint64
+	objects map[string]map[string]Object
+	changes uint64
+}
+
+func (st state) revision() uint64 { return st.changes + 1 }
+
+func (s *Store) current() state { return state{objects: s.objects, changes: s.changes} }
+
+// copyState returns the present state, which later changes leave as it is.
+func (s *Store) copyState() *state {
+	c := s.current()
+	c.objects = make(map[string]map[string]Object, len(s.objects))
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return &c
+}
+
+// Copy is a state to which Restore can take a store back.
+type Copy struct{ state *state }
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{state: s.copyState()}
 }
 
-func (s *Store) current() state { return state{objects: s.objects, revision: s.revision()} }
+// Restore replaces the state by a copy. What was written since is lost, its
+// revisions are issued again, and the era rises by one.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.changes = c.state.objects, c.state.changes
+	s.objects = s.copyState().objects
+	s.events = slices.DeleteFunc(s.events, func(e Event) bool { return e.revision > s.revision() })
+	s.compacted = min(s.compacted, s.revision())
+	s.restores++
+	s.notify()
+}
+
+// Era returns the era of the store.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restores + 1
+}
 
 // PinStaleLists makes all later lists with stale_ok return the present state.
 func (s *Store) PinStaleLists() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := state{objects: make(map[string]map[string]Object, len(s.objects)), revision: s.revision()}
-	for kind, objects := range s.objects {
-		old.objects[kind] = maps.Clone(objects)
-	}
-	s.pinned = &old
+	s.pinned = s.copyState()
 }
 
 // StaleLists returns the number of lists with stale_ok so far.
@@ -168,7 +208,7 @@
 	return s.calls
 }
 
-func (s *Store) revision() uint64 { return s.changes + 1 }
+func (s *Store) revision() uint64 { return s.current().revision() }
 
 func (s *Store) record(e Event) {
 	s.events = append(s.events, e)
@@ -188,6 +228,7 @@
 	s.mu.Lock()
 	s.calls++
 	fault := s.fault
+	setEra(w, s.restores+1)
 	s.mu.Unlock()
 	if s.applyFault(w, r, fault) {
 		return
@@ -240,7 +281,8 @@
 	for _, name := range names[:min(len(names), PageSize)] {
 		items = append(items, shown.objects[kind][name])
 	}
-	answer(w, map[string]any{"items": items, "more": more, "at": shown.revision})
+	setEra(w, s.restores+1)
+	answer(w, map[string]any{"items": items, "more": more, "at": shown.revision()})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, text string) {
@@ -257,9 +299,10 @@
 		if s.changed == nil {
 			s.changed = make(chan struct{})
 		}
-		changed, fault, gone := s.changed, s.fault, from < s.compacted
+		changed, fault, gone := s.changed, s.fault, from < s.compacted || from > s.revision()
 		events := s.eventsSince(kind, from)
 		revision := s.revision()
+		setEra(w, s.restores+1)
 		s.mu.Unlock()
 		switch {
 		case s.applyFault(w, r, fault):
@@ -291,6 +334,12 @@
 	return out
 }
 
+// setEra sets the header that all responses carry. A watch sets it again, since
+// the store may be restored while it waits.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+}
+
 func answer(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A write fails only when the caller has disconnected.
--- a/io/emul/soak/testbed.go
+++ b/io/emul/soak/testbed.go
@@ -41,8 +41,9 @@
 type instance struct {
 	*opaq.Upstream
 	dataCentre string
-	// sequence numbers the reports of the instance to the store.
-	sequence uint64
+	// sequence numbers the reports of the instance to the store, and startMillis is
+	// its start in milliseconds since the Unix epoch.
+	sequence, startMillis uint64
 	// drainStarted is when the drain was written to the store; zero before.
 	drainStarted time.Time
 	// crashed is when the instance was silenced; zero before.
@@ -139,7 +140,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.nextID++
-	u := &instance{dataCentre: dc, Upstream: &opaq.Upstream{
+	u := &instance{dataCentre: dc, startMillis: uint64(time.Now().UnixMilli()), Upstream: &opaq.Upstream{
 		ID: tb.nextID, Service: service, Port: tb.ports.packets,
 	}}
 	if err := u.Start(netip.AddrPortFrom(tb.addr(3, byte(tb.nextID%250+1)), 0)); err != nil {
@@ -166,7 +167,8 @@
 func (u *instance) entry() platform.Object {
 	return platform.InstanceObject(model.Instance{
 		ID: u.ID, Service: u.Service, DataCentre: u.dataCentre, Endpoint: u.Addr(), Slots: 2, Draining: !u.drainStarted.IsZero(),
-	}, u.sequence)
+		Sequence: u.sequence, StartMillis: u.startMillis,
+	})
 }
 
 // extraAddress is the address whose route is added and removed during the run.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -13,6 +13,7 @@
 	"egretdock/core/effect"
 	"egretdock/core/input"
 	"egretdock/core/limit"
+	"egretdock/core/model"
 	"egretdock/io/loop"
 	"egretdock/platform"
 )
@@ -66,13 +67,13 @@
 // source is one kind of objects to follow.
 type source interface {
 	name() string
-	// list reads all objects and returns the revision to watch from.
-	list(ctx context.Context, l platform.ListOptions) (uint64, error)
-	// watch reads the changes after a revision and returns the next revision to
+	// list reads all objects and returns the position to watch from.
+	list(ctx context.Context, l platform.ListOptions) (model.Position, error)
+	// watch reads the changes after a position and returns the next position to
 	// watch from.
-	watch(ctx context.Context, from uint64) (uint64, error)
-	// knownRevision returns a revision from which a watch misses no change, or 0.
-	knownRevision() uint64
+	watch(ctx context.Context, from model.Position) (model.Position, error)
+	// knownPosition returns a position from which a watch misses no change, or none.
+	knownPosition() model.Position
 	// setUnavailable is called when the store stops answering and when it answers
 	// again.
 	setUnavailable(bool)
@@ -91,9 +92,9 @@
 }
 
 // followStore lists the objects and then watches them until ctx ends. It lists
-// again only when the store no longer has the history of the revision.
+// again only when the store no longer has the history of the position.
 func (f *Feed) followStore(ctx context.Context, s source, rnd *rand.Rand) {
-	revision := s.knownRevision()
+	position := s.knownPosition()
 	freshness := platform.AllowStale
 	failures := 0
 	lostAt := time.Time{}
@@ -107,7 +108,7 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		next, err := f.call(ctx, s, revision, freshness)
+		next, err := f.call(ctx, s, position, freshness)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -120,27 +121,27 @@
 				answered = true
 			}
 			if failures > 0 {
-				f.LogEvent(effect.Event{Name: "store_regained", ListRevision: next, Detail: "kind=" + s.name() + " after=" + time.Since(lostAt).String()})
+				f.LogEvent(effect.Event{Name: "store_regained", ListRevision: next.Revision, ListEra: next.Era, Detail: "kind=" + s.name() + " after=" + time.Since(lostAt).String()})
 			}
 			switch {
-			case revision == 0 && freshness == platform.AllowStale:
+			case position.IsZero() && freshness == platform.AllowStale:
 				f.awaitRole(ctx)
-			case revision > 0 && next > revision:
+			case !position.IsZero() && next != position:
 				// The next call fetches the changes that follow closely.
 				loop.Sleep(ctx, f.timing.batchDelay)
 			}
-			failures, revision = 0, next
+			failures, position = 0, next
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
-			f.LogEvent(effect.Event{Name: "history_gone", ListRevision: revision, Detail: "kind=" + s.name() + " action=list"})
-			revision, freshness = 0, platform.Latest
+			f.LogEvent(effect.Event{Name: "history_gone", ListRevision: position.Revision, ListEra: position.Era, Detail: "kind=" + s.name() + " action=list"})
+			position, freshness = model.Position{}, platform.Latest
 			continue
 		}
 		if failures++; failures == 1 {
 			lostAt = time.Now()
 			f.contact.setLost(s.name(), true)
 			s.setUnavailable(true)
-			f.LogEvent(effect.Event{Name: "store_lost", ListRevision: revision, Detail: "kind=" + s.name() + " err=" + err.Error()})
+			f.LogEvent(effect.Event{Name: "store_lost", ListRevision: position.Revision, ListEra: position.Era, Detail: "kind=" + s.name() + " err=" + err.Error()})
 		}
 		f.Store.CloseIdleConnections()
 		loop.Sleep(ctx, limit.Backoff(failures, firstRetryDelay, maxRetryDelay, rnd))
@@ -163,20 +164,20 @@
 }
 
 // call makes one call of the store and reports it to ObserveCall.
-func (f *Feed) call(ctx context.Context, s source, revision uint64, freshness platform.Freshness) (uint64, error) {
+func (f *Feed) call(ctx context.Context, s source, position model.Position, freshness platform.Freshness) (model.Position, error) {
 	start := time.Now()
-	next, err := f.listOrWatch(ctx, s, revision, freshness)
+	next, err := f.listOrWatch(ctx, s, position, freshness)
 	f.ObserveCall(time.Since(start), err == nil)
 	return next, err
 }
 
-// listOrWatch watches from a revision, or lists the objects if it is 0. It
-// returns the next revision to watch from.
-func (f *Feed) listOrWatch(ctx context.Context, s source, revision uint64, freshness platform.Freshness) (uint64, error) {
-	if revision == 0 {
+// listOrWatch watches from a position, or lists the objects if there is none. It
+// returns the next position to watch from.
+func (f *Feed) listOrWatch(ctx context.Context, s source, position model.Position, freshness platform.Freshness) (model.Position, error) {
+	if position.IsZero() {
 		return s.list(ctx, platform.ListOptions{Freshness: freshness, PageTimeout: pageTimeout})
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.timing.watchTimeout)
 	defer cancel()
-	return s.watch(ctx, revision)
+	return s.watch(ctx, position)
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -20,6 +20,9 @@
 	"egretdock/platform"
 )
 
+// at returns the position of a revision in the stand-in store's first era.
+func at(revision uint64) model.Position { return model.Position{Era: 1, Revision: revision} }
+
 // fixture runs a feed with an emulated store. It is also the feed's LocalState
 // and its only peer.
 type fixture struct {
@@ -42,8 +45,7 @@
 	// news is the response of the other balancers; nil means that they don't
 	// respond.
 	news    *query.News
-	routing uint64
-	list    uint64
+	inForce query.InForce
 }
 
 func newFixture(t *testing.T, self bool) *fixture {
@@ -98,15 +100,15 @@
 	return fx.others
 }
 
-func (fx *fixture) Revisions() (routing, list uint64) {
+func (fx *fixture) InForce() query.InForce {
 	fx.mu.Lock()
 	defer fx.mu.Unlock()
-	return fx.routing, fx.list
+	return fx.inForce
 }
 
 func (fx *fixture) CloseIdleConnections() {}
 
-func (fx *fixture) WaitNews(ctx context.Context, _ netip.AddrPort, _, _ uint64, _ time.Duration) (query.News, error) {
+func (fx *fixture) WaitNews(ctx context.Context, _ netip.AddrPort, _ query.InForce, _ time.Duration) (query.News, error) {
 	fx.mu.Lock()
 	news := fx.news
 	fx.mu.Unlock()
@@ -199,7 +201,7 @@
 }
 
 func atListRevision(n uint64) func(*input.InstancesListed) bool {
-	return func(in *input.InstancesListed) bool { return in.Revision >= n }
+	return func(in *input.InstancesListed) bool { return in.Position.Revision >= n }
 }
 
 func atVersion(n uint64) func(*input.RoutesConfirmed) bool {
@@ -212,7 +214,7 @@
 	waitFor(fx, "the empty list", atListRevision(1))
 	at := fx.putInstance("i-1", "ready")
 	fx.putRouting(7)
-	waitFor(fx, "the change", func(in *input.InstancesChanged) bool { return in.Revision >= at && len(in.Changes) == 1 })
+	waitFor(fx, "the change", func(in *input.InstancesChanged) bool { return in.Position.Revision >= at && len(in.Changes) == 1 })
 	fx = newFixture(t, true)
 	fx.putRouting(8)
 	waitFor(fx, "the routes", atVersion(8))
@@ -294,7 +296,7 @@
 // and against a balancer that relies on a reader that is silent or lags behind.
 func TestReadsStoreOnlyWithoutCurrentNews(t *testing.T) {
 	fx := newFixture(t, false)
-	fx.setNews(&query.News{Routing: model.Routing{Revision: 5, Version: 3}, ListRevision: 9})
+	fx.setNews(&query.News{Routing: model.Routing{Position: at(5), Version: 3}, ListPosition: at(9)})
 	waitFor(fx, "the reader's routes", atVersion(3))
 	if n := fx.store.Calls(); n != 0 {
 		t.Errorf("%d calls of the store while the reader's news are current, want none", n)
@@ -358,7 +360,7 @@
 	waitFor(fx, "the empty list", atListRevision(1))
 	fx.store.SetFault(objs.FaultBusy)
 	waitFor(fx, "the loss", func(in *input.StoreAvailability) bool { return in.Unavailable })
-	fx.setNews(&query.News{Routing: model.Routing{Revision: 50, Version: 3}, ListRevision: 90})
+	fx.setNews(&query.News{Routing: model.Routing{Position: at(50), Version: 3}, ListPosition: at(90)})
 	fx.mu.Lock()
 	fx.later = []model.Balancer{{Name: "next"}}
 	fx.mu.Unlock()
@@ -412,7 +414,7 @@
 	fx := newFixture(t, true)
 	fx.store.SetFault(objs.FaultSilent)
 	fx.waitEvent("store_reading_started")
-	fx.setNews(&query.News{Routing: model.Routing{Revision: 5, Version: 3}, ListRevision: 9, FullList: true})
+	fx.setNews(&query.News{Routing: model.Routing{Position: at(5), Version: 3}, ListPosition: at(9), FullList: true})
 	fx.setOthers(model.Balancer{Name: "neighbour"})
 	waitFor(fx, "the neighbour's routes", atVersion(3))
 	waitFor(fx, "the neighbour's list", atListRevision(9))
--- a/io/feed/peers.go
+++ b/io/feed/peers.go
@@ -17,8 +17,8 @@
 // Peers is a client for the news of other balancers.
 type Peers interface {
 	// WaitNews returns the routes and instances that the balancer at addr has beyond
-	// the given revisions. That balancer waits up to wait for some.
-	WaitNews(ctx context.Context, addr netip.AddrPort, routing, list uint64, wait time.Duration) (query.News, error)
+	// those known. That balancer waits up to wait for some.
+	WaitNews(ctx context.Context, addr netip.AddrPort, known query.InForce, wait time.Duration) (query.News, error)
 	// CloseIdleConnections makes the next call open a new connection.
 	CloseIdleConnections()
 }
@@ -31,9 +31,8 @@
 	// NewsSources returns the other live balancers in the order in which to ask them
 	// for news.
 	NewsSources() []model.Balancer
-	// Revisions returns the revisions in force of the routes and of the list of
-	// instances.
-	Revisions() (routing, list uint64)
+	// InForce returns what is in force of the routes and of the list of instances.
+	InForce() query.InForce
 }
 
 // followPeers passes on the news of other balancers and opens the gate to the
@@ -104,8 +103,7 @@
 func (f *Feed) waitNews(ctx context.Context, reader model.Balancer) (query.News, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.timing.newsTimeout)
 	defer cancel()
-	routing, list := f.Local.Revisions()
-	return f.Peers.WaitNews(ctx, reader.Fetch, routing, list, f.timing.newsWait)
+	return f.Peers.WaitNews(ctx, reader.Fetch, f.Local.InForce(), f.timing.newsWait)
 }
 
 // setReading opens or closes the gate and logs the reason.
@@ -124,8 +122,8 @@
 func (f *Feed) pushNews(n query.News) {
 	f.Push(&input.RoutesConfirmed{Routing: n.Routing, Age: n.RoutingAge})
 	if n.FullList {
-		f.Push(&input.InstancesListed{Revision: n.ListRevision, Entries: n.Entries, Age: n.ListAge})
+		f.Push(&input.InstancesListed{Position: n.ListPosition, Entries: n.Entries, Age: n.ListAge})
 		return
 	}
-	f.Push(&input.InstancesChanged{Revision: n.ListRevision, Changes: n.Entries, Age: n.ListAge})
+	f.Push(&input.InstancesChanged{Position: n.ListPosition, Changes: n.Entries, Age: n.ListAge})
 }
--- a/io/feed/sources.go
+++ b/io/feed/sources.go
@@ -15,33 +15,30 @@
 
 func (*routeSource) name() string { return "routes" }
 
-func (r *routeSource) list(ctx context.Context, l platform.ListOptions) (uint64, error) {
+func (r *routeSource) list(ctx context.Context, l platform.ListOptions) (model.Position, error) {
 	return r.apply(r.f.Store.ReadRouting(ctx, l))
 }
 
-func (r *routeSource) watch(ctx context.Context, from uint64) (uint64, error) {
+func (r *routeSource) watch(ctx context.Context, from model.Position) (model.Position, error) {
 	return r.apply(r.f.Store.WatchRouting(ctx, from, r.f.timing.watchWait))
 }
 
-// apply passes routes on and returns the revision to watch from. Malformed routes
+// apply passes routes on and returns the position to watch from. Malformed routes
 // are logged once and those in force stay: the store has answered, and reading the
 // same revision again would not help.
-func (r *routeSource) apply(routing model.Routing, at uint64, err error) (uint64, error) {
+func (r *routeSource) apply(routing model.Routing, at model.Position, err error) (model.Position, error) {
 	if fault.KindOf(err) == fault.KindInvalid {
-		r.f.LogEvent(effect.Event{Name: "routes_refused", Revision: at, Detail: err.Error()})
+		r.f.LogEvent(effect.Event{Name: "routes_refused", Revision: at.Revision, Era: at.Era, Detail: err.Error()})
 		return at, nil
 	}
 	if err != nil {
-		return 0, err
+		return model.Position{}, err
 	}
 	r.f.Push(&input.RoutesConfirmed{Routing: routing})
 	return at, nil
 }
 
-func (r *routeSource) knownRevision() uint64 {
-	routing, _ := r.f.Local.Revisions()
-	return routing
-}
+func (r *routeSource) knownPosition() model.Position { return r.f.Local.InForce().Routing }
 
 // setUnavailable does nothing: routes stay in force while the store doesn't
 // answer.
@@ -52,30 +49,27 @@
 
 func (*instanceSource) name() string { return "instances" }
 
-func (i *instanceSource) list(ctx context.Context, l platform.ListOptions) (uint64, error) {
+func (i *instanceSource) list(ctx context.Context, l platform.ListOptions) (model.Position, error) {
 	u, err := i.f.Store.ListInstances(ctx, l)
 	if err != nil {
-		return 0, err
+		return model.Position{}, err
 	}
 	i.logUnreadable(u)
-	i.f.Push(&input.InstancesListed{Revision: u.Revision, Entries: u.Changes})
-	return u.Revision, nil
+	i.f.Push(&input.InstancesListed{Position: u.Position, Entries: u.Changes})
+	return u.Position, nil
 }
 
-func (i *instanceSource) watch(ctx context.Context, from uint64) (uint64, error) {
+func (i *instanceSource) watch(ctx context.Context, from model.Position) (model.Position, error) {
 	u, err := i.f.Store.WatchInstances(ctx, from, i.f.timing.watchWait)
 	if err != nil {
-		return 0, err
+		return model.Position{}, err
 	}
 	i.logUnreadable(u)
-	i.f.Push(&input.InstancesChanged{Revision: u.Revision, Changes: u.Changes})
-	return u.Revision, nil
+	i.f.Push(&input.InstancesChanged{Position: u.Position, Changes: u.Changes})
+	return u.Position, nil
 }
 
-func (i *instanceSource) knownRevision() uint64 {
-	_, list := i.f.Local.Revisions()
-	return list
-}
+func (i *instanceSource) knownPosition() model.Position { return i.f.Local.InForce().List }
 
 func (i *instanceSource) setUnavailable(unavailable bool) {
 	i.f.Push(&input.StoreAvailability{Unavailable: unavailable})
@@ -84,6 +78,6 @@
 // logUnreadable logs the entries that could not be decoded and so are not used.
 func (i *instanceSource) logUnreadable(u platform.InstanceUpdate) {
 	for _, err := range u.Unreadable {
-		i.f.LogEvent(effect.Event{Name: "entry_unreadable", ListRevision: u.Revision, Detail: err.Error()})
+		i.f.LogEvent(effect.Event{Name: "entry_unreadable", ListRevision: u.Position.Revision, ListEra: u.Position.Era, Detail: err.Error()})
 	}
 }
--- a/io/feed/start.go
+++ b/io/feed/start.go
@@ -6,6 +6,7 @@
 
 	"egretdock/core/effect"
 	"egretdock/core/model"
+	"egretdock/core/query"
 	"egretdock/io/loop"
 )
 
@@ -43,8 +44,7 @@
 
 // hasRoutesAndInstances reports whether routes and instances are known.
 func (f *Feed) hasRoutesAndInstances() bool {
-	routing, list := f.Local.Revisions()
-	return routing > 0 && list > 0
+	return f.Local.InForce().Complete()
 }
 
 // nextPeer returns a live balancer that isn't in asked and adds it. When all are
@@ -65,17 +65,18 @@
 func (f *Feed) startFromPeer(ctx context.Context, b model.Balancer) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerStartTimeout)
 	defer cancel()
-	n, err := f.Peers.WaitNews(ctx, b.Fetch, 0, 0, 0)
+	n, err := f.Peers.WaitNews(ctx, b.Fetch, query.InForce{}, 0)
 	switch {
 	case err != nil:
 		f.LogEvent(effect.Event{Name: "start_peer_failed", Detail: "peer=" + b.Name + " err=" + err.Error()})
 		return false
-	case n.Routing.Revision == 0 || n.ListRevision == 0:
+	case n.Routing.Position.IsZero() || n.ListPosition.IsZero():
 		f.LogEvent(effect.Event{Name: "start_peer_failed", Detail: "peer=" + b.Name + " reason=knows_nothing"})
 		return false
 	}
 	f.LogEvent(effect.Event{
-		Name: "started_from_peer", Revision: n.Routing.Revision, Age: n.RoutingAge, ListRevision: n.ListRevision, ListAge: n.ListAge,
+		Name: "started_from_peer", Revision: n.Routing.Position.Revision, Era: n.Routing.Position.Era, Age: n.RoutingAge,
+		ListRevision: n.ListPosition.Revision, ListEra: n.ListPosition.Era, ListAge: n.ListAge,
 		Detail: "peer=" + b.Name,
 	})
 	f.pushNews(n)
--- a/io/feed/timing_test.go
+++ b/io/feed/timing_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"egretdock/core/model"
 	"egretdock/core/roster"
 	"egretdock/platform"
 )
@@ -43,17 +44,17 @@
 	options     platform.ListOptions
 }
 
-func (s *recordingSource) list(ctx context.Context, options platform.ListOptions) (uint64, error) {
+func (s *recordingSource) list(ctx context.Context, options platform.ListOptions) (model.Position, error) {
 	_, s.hasDeadline = ctx.Deadline()
 	s.options = options
-	return 1, nil
+	return at(1), nil
 }
 
 // Guards against a list of thousands of instances that is cancelled and restarted
 // forever, because its pages together take longer than one call may.
 func TestOnlyPagesHaveTimeouts(t *testing.T) {
 	f, s := &Feed{timing: newTiming(0)}, &recordingSource{}
-	if _, err := f.listOrWatch(t.Context(), s, 0, platform.AllowStale); err != nil {
+	if _, err := f.listOrWatch(t.Context(), s, model.Position{}, platform.AllowStale); err != nil {
 		t.Fatal(err)
 	}
 	if s.hasDeadline || s.options.PageTimeout <= 0 {
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -165,7 +165,7 @@
 // hasRoutesAndInstances reports whether a view has routes and a list of
 // instances.
 func hasRoutesAndInstances(d *table.DirectView) bool {
-	return d.Routing.Revision > 0 && d.Roster.Revision > 0
+	return !d.Routing.Position.IsZero() && !d.Roster.Position.IsZero()
 }
 
 // Run serves until ctx ends or a signal arrives, then shuts down gracefully.
--- a/io/front/delay_test.go
+++ b/io/front/delay_test.go
@@ -22,8 +22,8 @@
 // load gives the app routes and an empty list of instances.
 func load(a *App) {
 	w := engine.NewWorkerState(1)
-	a.engine.Handle(w, time.Now(), &input.RoutesConfirmed{Routing: model.Routing{Revision: 1}})
-	a.engine.Handle(w, time.Now(), &input.InstancesListed{Revision: 1})
+	a.engine.Handle(w, time.Now(), &input.RoutesConfirmed{Routing: model.Routing{Position: model.Position{Revision: 1}}})
+	a.engine.Handle(w, time.Now(), &input.InstancesListed{Position: model.Position{Revision: 1}})
 }
 
 // Guards against a starting process that reads packets before it knows routes
--- a/io/front/peers.go
+++ b/io/front/peers.go
@@ -84,24 +84,21 @@
 	return query.NewsSources(a.engine.Tables.Members(), a.engine.Self)
 }
 
-// Revisions implements feed.LocalState.
-func (a *App) Revisions() (routing, list uint64) {
-	d := a.engine.Tables.Direct()
-	return d.Routing.Revision, d.Roster.Revision
-}
+// InForce implements feed.LocalState.
+func (a *App) InForce() query.InForce { return query.InForceOf(a.engine.Tables.Direct()) }
 
 // WaitNews implements peers.NewsSource.
-func (a *App) WaitNews(ctx context.Context, routing, list uint64) query.News {
+func (a *App) WaitNews(ctx context.Context, known query.InForce) query.News {
 	var h locks.Holder
 	for {
 		d, changed := a.engine.Tables.WatchDirect(&h)
-		n := query.NewsAfter(d, routing, list, time.Now())
+		n := query.NewsAfter(d, known, time.Now())
 		if !n.Empty() {
 			return n
 		}
 		select {
 		case <-ctx.Done():
-			return query.NewsAfter(a.engine.Tables.Direct(), routing, list, time.Now())
+			return query.NewsAfter(a.engine.Tables.Direct(), known, time.Now())
 		case <-changed:
 		}
 	}
--- a/io/front/stats.go
+++ b/io/front/stats.go
@@ -76,8 +76,9 @@
 	gauge("lines_dropped", func() int64 { return int64(a.asyncLog.Dropped()) })
 	gauge("flows_tracked", func() int64 { return int64(a.FlowCount()) })
 	gauge("routes_version", func() int64 { return int64(a.engine.Tables.Direct().Routing.Version) })
-	gauge("routes_revision", func() int64 { return int64(a.engine.Tables.Direct().Routing.Revision) })
-	gauge("list_revision", func() int64 { return int64(a.engine.Tables.Direct().Roster.Revision) })
+	gauge("routes_revision", func() int64 { return int64(a.engine.Tables.Direct().Routing.Position.Revision) })
+	gauge("list_revision", func() int64 { return int64(a.engine.Tables.Direct().Roster.Position.Revision) })
+	gauge("store_era", func() int64 { return int64(a.engine.Tables.Direct().Roster.Position.Era) })
 	gauge("instances_known", func() int64 { return int64(len(a.engine.Tables.Direct().Backends())) })
 	return s
 }
--- a/io/peers/news.go
+++ b/io/peers/news.go
@@ -20,9 +20,9 @@
 
 // NewsSource provides the routes and instances to serve to other balancers.
 type NewsSource interface {
-	// WaitNews returns what is newer than the given revisions of the routes and
-	// of the list of instances. While nothing is newer it waits until ctx ends.
-	WaitNews(ctx context.Context, routing, list uint64) query.News
+	// WaitNews returns what is newer than the known routes and list of instances.
+	// While nothing is newer it waits until ctx ends.
+	WaitNews(ctx context.Context, known query.InForce) query.News
 }
 
 // maxNewsWait bounds the wait that a caller may request.
@@ -37,26 +37,31 @@
 
 type newsServer struct{ src NewsSource }
 
-// Wait returns what is newer than the caller's revisions, or nothing new once
-// the caller's wait is over.
-func (s *newsServer) Wait(ctx context.Context, req *peerpb.WaitRequest) (*peerpb.WaitResponse, error) {
+// Follow returns what is newer than what the caller has in force, or nothing new
+// once the caller's wait is over.
+func (s *newsServer) Follow(ctx context.Context, req *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxNewsWait)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	n := s.src.WaitNews(ctx, req.GetRouting(), req.GetList())
+	n := s.src.WaitNews(ctx, query.InForce{
+		Version: req.GetVersion(), Routing: decodePosition(req.GetRouting()), List: decodePosition(req.GetList()),
+	})
 	return encodeNews(n), nil
 }
 
-// WaitNews asks the balancer at addr for what is newer than the given revisions
-// of the routes and of the list of instances. The balancer answers after wait
+// WaitNews asks the balancer at addr for what is newer than the known routes and
+// list of instances. The balancer answers after wait
 // at the latest.
-func (c *Client) WaitNews(ctx context.Context, addr netip.AddrPort, routing, list uint64, wait time.Duration) (query.News, error) {
+func (c *Client) WaitNews(ctx context.Context, addr netip.AddrPort, known query.InForce, wait time.Duration) (query.News, error) {
 	call := peerpbconnect.NewNewsServiceClient(c.http, "http://"+addr.String(),
 		connect.WithInterceptors(c.auth), connect.WithReadMaxBytes(maxMessageBytes),
 		// A response usually has a few bytes. On a small host, compression
 		// takes more processor time than the transfer of a whole configuration.
 		connect.WithAcceptCompression("gzip", nil, nil))
-	res, err := call.Wait(ctx, &peerpb.WaitRequest{Routing: routing, List: list, WaitMs: uint32(wait.Milliseconds())})
+	res, err := call.Follow(ctx, &peerpb.FollowRequest{
+		Version: known.Version, Routing: encodePosition(known.Routing), List: encodePosition(known.List),
+		WaitMs: uint32(wait.Milliseconds()),
+	})
 	if err != nil {
 		return query.News{}, fault.Wrap(err, fault.KindUnavailable, "balancer "+addr.String()+" did not return routes and instances", "check the balancer and the network; the store is read instead")
 	}
@@ -66,14 +71,14 @@
 // CloseIdleConnections makes the next call open a new connection.
 func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
 
-func encodeNews(n query.News) *peerpb.WaitResponse {
-	out := &peerpb.WaitResponse{
-		List: n.ListRevision, Whole: n.FullList, Away: n.StoreUnavailable,
+func encodeNews(n query.News) *peerpb.FollowResponse {
+	out := &peerpb.FollowResponse{
+		List: encodePosition(n.ListPosition), Whole: n.FullList, Away: n.StoreUnavailable,
 		RoutingAgeMs: milliseconds(n.RoutingAge), ListAgeMs: milliseconds(n.ListAge),
 	}
-	if n.Routing.Revision > 0 {
+	if !n.Routing.Position.IsZero() {
 		out.Routing = &peerpb.Routing{
-			Revision: n.Routing.Revision, Version: n.Routing.Version,
+			Position: encodePosition(n.Routing.Position), Version: n.Routing.Version,
 			IdleTimeoutMs: milliseconds(n.Routing.IdleTimeout),
 		}
 		for _, r := range n.Routing.Routes() {
@@ -100,13 +105,14 @@
 	e.Service, e.DataCentre = in.Service, in.DataCentre
 	e.Ip, e.Port = splitAddr(in.Endpoint)
 	e.Slots, e.Draining = uint32(in.Slots), in.Draining
-	e.WarmupLeftMs, e.Born, e.Revision = milliseconds(in.WarmupLeft), in.StartMillis, in.Revision
+	e.Sequence = in.Sequence
+	e.WarmupLeftMs, e.Born, e.Position = milliseconds(in.WarmupLeft), in.StartMillis, encodePosition(in.Position)
 	return e
 }
 
-func decodeNews(m *peerpb.WaitResponse) (query.News, error) {
+func decodeNews(m *peerpb.FollowResponse) (query.News, error) {
 	n := query.News{
-		ListRevision: m.GetList(), FullList: m.GetWhole(), StoreUnavailable: m.GetAway(),
+		ListPosition: decodePosition(m.GetList()), FullList: m.GetWhole(), StoreUnavailable: m.GetAway(),
 		RoutingAge: duration(m.GetRoutingAgeMs()), ListAge: duration(m.GetListAgeMs()),
 	}
 	if r := m.GetRouting(); r != nil {
@@ -119,7 +125,7 @@
 			routes = append(routes, route)
 		}
 		n.Routing = model.Routing{
-			Revision: r.GetRevision(), Version: r.GetVersion(), IdleTimeout: duration(r.GetIdleTimeoutMs()),
+			Position: decodePosition(r.GetPosition()), Version: r.GetVersion(), IdleTimeout: duration(r.GetIdleTimeoutMs()),
 		}.WithRoutes(routes)
 	}
 	for _, e := range m.GetEntries() {
@@ -129,12 +135,20 @@
 		n.Entries = append(n.Entries, model.InstanceChange{Kind: model.ChangeKind(e.GetKind()), Instance: model.Instance{
 			ID: e.GetId(), Name: e.GetName(), Service: e.GetService(), DataCentre: e.GetDataCentre(),
 			Endpoint: joinAddr(e.GetIp(), e.GetPort()), Slots: int(e.GetSlots()), Draining: e.GetDraining(),
-			WarmupLeft: duration(e.GetWarmupLeftMs()), StartMillis: e.GetBorn(), Revision: e.GetRevision(),
+			WarmupLeft: duration(e.GetWarmupLeftMs()), StartMillis: e.GetBorn(), Sequence: e.GetSequence(), Position: decodePosition(e.GetPosition()),
 		}})
 	}
 	return n, nil
 }
 
+func encodePosition(p model.Position) *peerpb.Position {
+	return &peerpb.Position{Era: p.Era, Revision: p.Revision}
+}
+
+func decodePosition(p *peerpb.Position) model.Position {
+	return model.Position{Era: p.GetEra(), Revision: p.GetRevision()}
+}
+
 // milliseconds clamps d to the range of the field.
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
--- a/io/peers/news_test.go
+++ b/io/peers/news_test.go
@@ -18,13 +18,13 @@
 // fixedNews is a NewsSource that returns the same news without waiting.
 type fixedNews query.News
 
-func (f fixedNews) WaitNews(context.Context, uint64, uint64) query.News { return query.News(f) }
+func (f fixedNews) WaitNews(context.Context, query.InForce) query.News { return query.News(f) }
 
 // Guards against compressed responses: connect-go requests compression by
 // default, which trebled the processor time of a call.
 func TestNewsAreNotCompressed(t *testing.T) {
 	key := config.NewKey([]byte("0123456789abcdef0123456789abcdef"))
-	_, h := NewNewsHandler(fixedNews{ListRevision: 1}, key, time.Now)
+	_, h := NewNewsHandler(fixedNews{ListPosition: model.Position{Revision: 1}}, key, time.Now)
 	accepted := make(chan string, 1)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		accepted <- r.Header.Get("Accept-Encoding")
@@ -33,7 +33,7 @@
 	defer srv.Close()
 	c := NewClient(key, time.Now)
 	addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
-	if _, err := c.WaitNews(t.Context(), addr, 0, 0, time.Second); err != nil {
+	if _, err := c.WaitNews(t.Context(), addr, query.InForce{}, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	if got := <-accepted; strings.Contains(got, "gzip") {
@@ -52,8 +52,8 @@
 		}
 	}
 	for name, n := range map[string]query.News{
-		"none":   {ListRevision: 1},
-		"routes": {ListRevision: 1, Routing: model.Routing{Revision: 1}.WithRoutes(routes)},
+		"none":   {ListPosition: model.Position{Revision: 1}},
+		"routes": {ListPosition: model.Position{Revision: 1}, Routing: model.Routing{Position: model.Position{Revision: 1}}.WithRoutes(routes)},
 	} {
 		b.Run(name, func(b *testing.B) {
 			key := config.NewKey([]byte("0123456789abcdef0123456789abcdef"))
@@ -63,7 +63,7 @@
 			c := NewClient(key, time.Now)
 			addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 			for b.Loop() {
-				if _, err := c.WaitNews(b.Context(), addr, 0, 0, time.Second); err != nil {
+				if _, err := c.WaitNews(b.Context(), addr, query.InForce{}, time.Second); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/io/peers/peerpb/peerpbconnect/news.connect.go
+++ b/io/peers/peerpb/peerpbconnect/news.connect.go
@@ -36,15 +36,15 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// NewsServiceWaitProcedure is the fully-qualified name of the NewsService's Wait RPC.
-	NewsServiceWaitProcedure = "/peerpb.NewsService/Wait"
+	// NewsServiceFollowProcedure is the fully-qualified name of the NewsService's Follow RPC.
+	NewsServiceFollowProcedure = "/peerpb.NewsService/Follow"
 )
 
 // NewsServiceClient is a client for the peerpb.NewsService service.
 type NewsServiceClient interface {
-	// Wait returns what is newer than the caller's revisions, or nothing new after
-	// the caller's wait.
-	Wait(context.Context, *peerpb.WaitRequest) (*peerpb.WaitResponse, error)
+	// Follow returns what is newer than what the caller has in force, or nothing
+	// new after the caller's wait.
+	Follow(context.Context, *peerpb.FollowRequest) (*peerpb.FollowResponse, error)
 }
 
 // NewNewsServiceClient constructs a client for the peerpb.NewsService service. By default, it uses
@@ -58,10 +58,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	newsServiceMethods := peerpb.File_peerpb_news_proto.Services().ByName("NewsService").Methods()
 	return &newsServiceClient{
-		wait: connect.NewClient[peerpb.WaitRequest, peerpb.WaitResponse](
+		follow: connect.NewClient[peerpb.FollowRequest, peerpb.FollowResponse](
 			httpClient,
-			baseURL+NewsServiceWaitProcedure,
-			connect.WithSchema(newsServiceMethods.ByName("Wait")),
+			baseURL+NewsServiceFollowProcedure,
+			connect.WithSchema(newsServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -69,12 +69,12 @@
 
 // newsServiceClient implements NewsServiceClient.
 type newsServiceClient struct {
-	wait *connect.Client[peerpb.WaitRequest, peerpb.WaitResponse]
+	follow *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
 }
 
-// Wait calls peerpb.NewsService.Wait.
-func (c *newsServiceClient) Wait(ctx context.Context, req *peerpb.WaitRequest) (*peerpb.WaitResponse, error) {
-	response, err := c.wait.CallUnary(ctx, connect.NewRequest(req))
+// Follow calls peerpb.NewsService.Follow.
+func (c *newsServiceClient) Follow(ctx context.Context, req *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	response, err := c.follow.CallUnary(ctx, connect.NewRequest(req))
 	if response != nil {
 		return response.Msg, err
 	}
@@ -83,9 +83,9 @@
 
 // NewsServiceHandler is an implementation of the peerpb.NewsService service.
 type NewsServiceHandler interface {
-	// Wait returns what is newer than the caller's revisions, or nothing new after
-	// the caller's wait.
-	Wait(context.Context, *peerpb.WaitRequest) (*peerpb.WaitResponse, error)
+	// Follow returns what is newer than what the caller has in force, or nothing
+	// new after the caller's wait.
+	Follow(context.Context, *peerpb.FollowRequest) (*peerpb.FollowResponse, error)
 }
 
 // NewNewsServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -95,16 +95,16 @@
 // and JSON codecs. They also support gzip compression.
 func NewNewsServiceHandler(svc NewsServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	newsServiceMethods := peerpb.File_peerpb_news_proto.Services().ByName("NewsService").Methods()
-	newsServiceWaitHandler := connect.NewUnaryHandlerSimple(
-		NewsServiceWaitProcedure,
-		svc.Wait,
-		connect.WithSchema(newsServiceMethods.ByName("Wait")),
+	newsServiceFollowHandler := connect.NewUnaryHandlerSimple(
+		NewsServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(newsServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/peerpb.NewsService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case NewsServiceWaitProcedure:
-			newsServiceWaitHandler.ServeHTTP(w, r)
+		case NewsServiceFollowProcedure:
+			newsServiceFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -114,6 +114,6 @@
 // UnimplementedNewsServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedNewsServiceHandler struct{}
 
-func (UnimplementedNewsServiceHandler) Wait(context.Context, *peerpb.WaitRequest) (*peerpb.WaitResponse, error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peerpb.NewsService.Wait is not implemented"))
+func (UnimplementedNewsServiceHandler) Follow(context.Context, *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peerpb.NewsService.Follow is not implemented"))
 }
