--- a/core/model/position.go
+++ b/core/model/position.go
@@ -19,7 +19,7 @@
 
 // Compare orders positions; no position comes first.
 func (p Position) Compare(q Position) int {
-	return cmp.Compare(p.Revision, q.Revision)
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
 }
 
 // After reports whether p comes after q.
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -90,8 +91,12 @@
 	return ok
 }
 
-// Supersedes reports whether r replaces another routing.
-func (r Routing) Supersedes(old Routing) bool { return r.Position.After(old.Position) }
+// Supersedes reports whether r replaces another routing. The version decides
+// first, since a restored store shows an older configuration until the operator's
+// last one is written again.
+func (r Routing) Supersedes(old Routing) bool {
+	return cmp.Or(cmp.Compare(r.Version, old.Version), r.Position.Compare(old.Position)) > 0
+}
 
 // WithPrevious returns a copy that records which routes of the previous routing
 // were removed. Records older than keep are discarded, so that they do not
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -115,9 +115,10 @@
 }
 
 // WithChanges returns a copy with the changes up to a position applied. Changes
-// that are older than r are ignored.
+// that are older than r are ignored, and those of a later era until its entries
+// have been listed.
 func (r Roster) WithChanges(now time.Time, changes []model.InstanceChange, position model.Position) Roster {
-	if position.Before(r.Position) {
+	if position.Before(r.Position) || !r.Position.IsZero() && position.Era != r.Position.Era {
 		return r
 	}
 	if len(changes) == 0 {
@@ -294,9 +295,10 @@
 
 // ChangesSince returns the entries that changed after a position, for a balancer
 // that is at that position. full is true when they are the full list, because
-// removals after that position may have been forgotten.
+// removals after that position may have been forgotten, or because it belongs to
+// another era.
 func (r Roster) ChangesSince(position model.Position) (changes []model.InstanceChange, full bool) {
-	full = position.Before(r.ForgottenPosition) || position.IsZero()
+	full = position.Before(r.ForgottenPosition) || position.IsZero() || position.Era != r.Position.Era
 	for _, m := range r.members {
 		if !full && !m.ChangePosition.After(position) {
 			continue
