--- a/core/engine/store.go
+++ b/core/engine/store.go
@@ -62,7 +62,7 @@
 }
 
 // updateRoster replaces the roster by the result of fn. It reports the first list
-// in one event, and later each instance that is new, has restarted or has another
+// in one event, and later a restore of the store and each instance that is new, has restarted or has another
 // status. A line for each instance of the first list would take a small host tens
 // of milliseconds before the first packet.
 func (e *Engine) updateRoster(w *WorkerState, fn func(roster.Roster) (roster.Roster, bool)) {
@@ -75,6 +75,9 @@
 		reportFirstList(w, after)
 		return
 	}
+	if from, to := before.Roster.Position, after.Roster.Position; from.Era != to.Era {
+		w.Out.Add(&effect.Event{Name: "store_restored", ListRevision: to.Revision, ListEra: to.Era, Detail: "before=" + from.String()})
+	}
 	for id, b := range after.Backends() {
 		old, known := before.Backend(id)
 		if known && old.Status == b.Status && old.Instance.StartMillis == b.Instance.StartMillis {
--- a/core/model/instance.go
+++ b/core/model/instance.go
@@ -33,6 +33,44 @@
 	Position Position
 }
 
+// WithSequence returns a copy with another sequence.
+func (in Instance) WithSequence(n uint64) Instance {
+	in.Sequence = n
+	return in
+}
+
+// WithPosition returns a copy with another position.
+func (in Instance) WithPosition(p Position) Instance {
+	in.Position = p
+	return in
+}
+
+// Supersedes reports whether in is a later state of an instance than old. The instance's own count decides between states of one start, since a
+// restored store may list an older state under a later position. Between two
+// starts the store decides, and across a restore the time of the start.
+func (in Instance) Supersedes(old Instance) bool {
+	restored := in.Position.Era != old.Position.Era
+	switch {
+	case in.Position.Before(old.Position):
+		return false
+	case in.StartMillis != old.StartMillis:
+		return !restored || in.StartMillis > old.StartMillis
+	case in.StartMillis != 0:
+		return in.Sequence > old.Sequence || in.Sequence == old.Sequence && !restored
+	}
+	return true
+}
+
+// WrittenAfter reports whether the entry of in is later than that of another
+// instance. The eras of two entries differ when a restored store lacks one of
+// them; then the times of the starts decide.
+func (in Instance) WrittenAfter(other Instance) bool {
+	if in.Position.Era != other.Position.Era {
+		return in.StartMillis > other.StartMillis
+	}
+	return in.Position.After(other.Position)
+}
+
 // ChangeKind is what happened to the entry of an instance.
 type ChangeKind uint8
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -58,6 +58,11 @@
 	return "invalid"
 }
 
+// entryVanished reports whether the entry was no longer listed.
+func (s Status) entryVanished() bool {
+	return s == StatusLapsed || s == StatusDeparting || s == StatusGone
+}
+
 // Member is an instance with its status. It is immutable.
 type Member struct {
 	Instance model.Instance
@@ -77,7 +82,8 @@
 	// StoreUnavailable is true while the store does not answer. No member expires
 	// meanwhile.
 	StoreUnavailable bool
-	// StoreRecoveredAt is when the store last began to answer again.
+	// StoreRecoveredAt is when the store last began to answer again, or was found
+	// restored.
 	StoreRecoveredAt time.Time
 	// ForgottenPosition is the latest ChangePosition of the forgotten members.
 	ForgottenPosition model.Position
@@ -198,6 +204,10 @@
 func (r Roster) edit(now time.Time, position model.Position) *edit {
 	next := make(map[uint64]Member, len(r.members)+1)
 	maps.Copy(next, r.members)
+	if !r.Position.IsZero() && position.Era != r.Position.Era {
+		// Entries that the copy lacks are written again, as after an outage.
+		r.StoreRecoveredAt = now
+	}
 	return &edit{roster: r, next: next, now: now, position: position}
 }
 
@@ -222,18 +232,15 @@
 
 func (e *edit) put(in model.Instance) {
 	old, known := e.next[in.ID]
-	if known && old.Instance.Position.After(in.Position) {
+	if known && in.Position.Before(old.Instance.Position) {
 		return
 	}
 	m := Member{Instance: in, StatusSince: e.now, ChangePosition: e.position}
-	if known && old.Instance == in {
-		m.ChangePosition = old.ChangePosition
-	}
 	if in.Draining {
 		m.Status = StatusDraining
 	}
-	if known && old.Status == m.Status && old.Instance.StartMillis == in.StartMillis {
-		m.StatusSince = old.StatusSince
+	if known {
+		m = e.merge(old, m)
 	}
 	e.next[in.ID] = m
 	// Only an instance at the same address can lose it by this entry.
@@ -244,11 +251,37 @@
 	}
 }
 
+// merge returns what is known of an instance after its entry was listed. Of two
+// states, the more recent one stays: a restored store lists older ones, under
+// which a drain must not be undone. An entry that had vanished counts again if
+// it is listed as it was, since the instance may go on writing it without a
+// change, which makes no event.
+func (e *edit) merge(old, listed Member) Member {
+	m := listed
+	if !listed.Instance.Supersedes(old.Instance) {
+		m.Instance, m.Status = old.Instance.WithPosition(listed.Instance.Position), old.Status
+		sameState := listed.Instance.StartMillis == old.Instance.StartMillis && listed.Instance.Draining == old.Instance.Draining
+		if old.Status.entryVanished() && sameState {
+			m.Status = listed.Status
+		}
+	}
+	if old.Status == StatusGone && m.Status == StatusReady && e.addressReused(m) {
+		m.Status = StatusGone
+	}
+	if old.Status == m.Status && old.Instance.StartMillis == m.Instance.StartMillis {
+		m.StatusSince = old.StatusSince
+	}
+	if old.Instance.WithSequence(m.Instance.Sequence) == m.Instance {
+		m.ChangePosition = old.ChangePosition
+	}
+	return m
+}
+
 // reusesAddress reports whether m is a ready instance with a newer entry at the
 // address of another one.
 func reusesAddress(m, other Member) bool {
 	return m.Status == StatusReady && m.Instance.Endpoint == other.Instance.Endpoint &&
-		m.Instance.ID != other.Instance.ID && m.Instance.Position.After(other.Instance.Position)
+		m.Instance.ID != other.Instance.ID && m.Instance.WrittenAfter(other.Instance)
 }
 
 // addressReused reports whether a ready instance with a newer entry has the
