--- a/io/emul/objs/store.go
+++ b/io/emul/objs/store.go
@@ -282,7 +282,7 @@
 		items = append(items, shown.objects[kind][name])
 	}
 	setEra(w, s.restores+1)
-	answer(w, map[string]any{"items": items, "more": more, "at": shown.revision()})
+	answerList(w, items, more, shown.revision())
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, text string) {
@@ -311,7 +311,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || timedOut:
-			answer(w, map[string]any{"events": events, "at": revision})
+			answerEvents(w, events, revision)
 			return
 		}
 		select {
@@ -339,9 +339,3 @@
 func setEra(w http.ResponseWriter, era uint64) {
 	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 }
-
-func answer(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	// A write fails only when the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/io/feed/restore_test.go
+++ b/io/feed/restore_test.go
@@ -73,12 +73,10 @@
 	fx.setNews(&query.News{Routing: model.Routing{Position: at(6), Version: 4}, ListPosition: at(90), FullList: true})
 	waitFor(fx, "the later routes of the peer", atVersion(4))
 	waitFor(fx, "the changes in the store", func(in input.Input) bool {
-		switch in := in.(type) {
-		case *input.InstancesListed:
-			t.Errorf("a list at %s was passed on, want only changes in the store", in.Position)
-		case *input.InstancesChanged:
-			return in.Position.Era == 2 && len(in.Changes) == 1
+		if l, ok := in.(*input.InstancesListed); ok {
+			t.Errorf("a list at %s was passed on, want only changes in the store", l.Position)
 		}
-		return false
+		c, ok := in.(*input.InstancesChanged)
+		return ok && c.Position.Era == 2 && len(c.Changes) == 1
 	})
 }
--- a/io/peers/news.go
+++ b/io/peers/news.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return query.News{}, fault.Wrap(err, fault.KindUnavailable, "balancer "+addr.String()+" did not return routes and instances", "check the balancer and the network; the store is read instead")
 	}
-	return decodeNews(res)
+	return decodeNews(res), nil
 }
 
 // CloseIdleConnections makes the next call open a new connection.
@@ -110,7 +110,7 @@
 	return e
 }
 
-func decodeNews(m *peerpb.FollowResponse) (query.News, error) {
+func decodeNews(m *peerpb.FollowResponse) query.News {
 	n := query.News{
 		ListPosition: decodePosition(m.GetList()), FullList: m.GetWhole(), StoreUnavailable: m.GetAway(),
 		RoutingAge: duration(m.GetRoutingAgeMs()), ListAge: duration(m.GetListAgeMs()),
@@ -129,16 +129,27 @@
 		}.WithRoutes(routes)
 	}
 	for _, e := range m.GetEntries() {
-		if e.GetKind() > uint32(model.ChangeUnreadable) {
-			return query.News{}, fault.New(fault.KindInvalid, "an instance entry has an unknown kind of change", "run the same version on all balancers")
-		}
-		n.Entries = append(n.Entries, model.InstanceChange{Kind: model.ChangeKind(e.GetKind()), Instance: model.Instance{
-			ID: e.GetId(), Name: e.GetName(), Service: e.GetService(), DataCentre: e.GetDataCentre(),
-			Endpoint: joinAddr(e.GetIp(), e.GetPort()), Slots: int(e.GetSlots()), Draining: e.GetDraining(),
-			WarmupLeft: duration(e.GetWarmupLeftMs()), StartMillis: e.GetBorn(), Sequence: e.GetSequence(), Position: decodePosition(e.GetPosition()),
-		}})
+		n.Entries = append(n.Entries, decodeEntry(e))
+	}
+	return n
+}
+
+// decodeEntry returns an unreadable entry for one that a balancer of another build
+// may have sent, so that it costs no other one.
+func decodeEntry(e *peerpb.Entry) model.InstanceChange {
+	c := model.InstanceChange{Kind: model.ChangeKind(e.GetKind()), Instance: model.Instance{ID: e.GetId(), Name: e.GetName()}}
+	written := e.GetKind() == uint32(model.ChangeWritten)
+	switch {
+	case e.GetKind() > uint32(model.ChangeUnreadable),
+		written && (e.GetSlots() == 0 || e.GetSlots() > math.MaxInt32 || e.GetPort() == 0 || e.GetPort() > math.MaxUint16):
+		c.Kind = model.ChangeUnreadable
+	case written:
+		c.Instance.Service, c.Instance.DataCentre = e.GetService(), e.GetDataCentre()
+		c.Instance.Endpoint, c.Instance.Slots, c.Instance.Draining = joinAddr(e.GetIp(), e.GetPort()), int(e.GetSlots()), e.GetDraining()
+		c.Instance.WarmupLeft, c.Instance.StartMillis = duration(e.GetWarmupLeftMs()), e.GetBorn()
+		c.Instance.Sequence, c.Instance.Position = e.GetSequence(), decodePosition(e.GetPosition())
 	}
-	return n, nil
+	return c
 }
 
 func encodePosition(p model.Position) *peerpb.Position {
--- a/io/peers/news_test.go
+++ b/io/peers/news_test.go
@@ -13,6 +13,7 @@
 	"egretdock/core/model"
 	"egretdock/core/query"
 	"egretdock/io/config"
+	"egretdock/io/peers/peerpb"
 )
 
 // fixedNews is a NewsSource that returns the same news without waiting.
@@ -70,3 +71,21 @@
 		})
 	}
 }
+
+// Guards against one odd entry of another balancer that costs all the others.
+func TestOddEntryOfPeer(t *testing.T) {
+	good := &peerpb.Entry{Id: 1, Name: "i-1", Service: "desk", Ip: 0x0a000001, Port: 8080, Slots: 2}
+	for name, odd := range map[string]*peerpb.Entry{
+		"unknown kind":      {Id: 2, Name: "i-2", Kind: 9},
+		"port out of range": {Id: 2, Name: "i-2", Service: "desk", Ip: 0x0a000002, Port: 1 << 20, Slots: 2},
+		"no slots":          {Id: 2, Name: "i-2", Service: "desk", Ip: 0x0a000002, Port: 8080},
+		"too many slots":    {Id: 2, Name: "i-2", Service: "desk", Ip: 0x0a000002, Port: 8080, Slots: 1 << 31},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := decodeNews(&peerpb.FollowResponse{Entries: []*peerpb.Entry{odd, good}})
+			if len(n.Entries) != 2 || n.Entries[0].Kind != model.ChangeUnreadable || n.Entries[1].Kind != model.ChangeWritten {
+				t.Errorf("entries %+v, want one unreadable and one written", n.Entries)
+			}
+		})
+	}
+}
