--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -59,6 +59,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.followPeers(ctx) })
 	g.Go(func() error { return f.startFromPeers(ctx) })
+	g.Go(func() error { return f.learnLaterRoutes(ctx) })
 	g.Go(func() error { return f.follow(ctx, &routeSource{f: f}) })
 	g.Go(func() error { return f.follow(ctx, &instanceSource{f: f}) })
 	return g.Wait()
--- a/io/feed/restore_test.go
+++ b/io/feed/restore_test.go
@@ -80,3 +80,20 @@
 		return ok && c.Position.Era == 2 && len(c.Changes) == 1
 	})
 }
+
+// Guards against a reader that starts from a restored store and serves routes that
+// the other balancers have replaced, until the operator's last ones are written
+// again.
+func TestReaderLearnsLaterRoutes(t *testing.T) {
+	store := &objs.Store{}
+	store.Put("config", "main", map[string]any{"version": 7})
+	store.Restore(store.Copy())
+	fx := newFixtureWithStore(t, store, true)
+	known := model.Position{Era: 2, Revision: 2}
+	fx.setInForce(query.InForce{Version: 7, Routing: known, List: known})
+	fx.setNews(&query.News{Routing: model.Routing{Position: at(5), Version: 8}, ListPosition: at(90)})
+	fx.mu.Lock()
+	fx.later, fx.others = []model.Balancer{{Name: "next"}}, []model.Balancer{{Name: "next"}}
+	fx.mu.Unlock()
+	waitFor(fx, "the routes of the other balancer", atVersion(8))
+}
--- a/io/feed/start.go
+++ b/io/feed/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdock/core/effect"
+	"egretdock/core/input"
 	"egretdock/core/model"
 	"egretdock/core/query"
 	"egretdock/io/loop"
@@ -82,3 +83,40 @@
 	f.pushNews(n)
 	return true
 }
+
+// maxRoutesPeers is how many balancers a reader asks for later routes at most.
+const maxRoutesPeers = 3
+
+// learnLaterRoutes asks another balancer for later routes once this one knows that
+// it is the reader. It has started from the store, which may have been restored
+// from a copy that lacks them, and then nobody else would tell it.
+func (f *Feed) learnLaterRoutes(ctx context.Context) error {
+	select {
+	case <-f.isReader:
+	case <-ctx.Done():
+		return nil
+	}
+	sources := f.Local.NewsSources()
+	for _, b := range sources[:min(len(sources), maxRoutesPeers)] {
+		if f.learnRoutesFrom(ctx, b) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// learnRoutesFrom passes on the routes of a balancer if they are later. It reports
+// whether the balancer answered.
+func (f *Feed) learnRoutesFrom(ctx context.Context, b model.Balancer) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerStartTimeout)
+	defer cancel()
+	n, err := f.Peers.WaitNews(ctx, b.Fetch, f.Local.InForce(), 0)
+	if err != nil {
+		f.LogEvent(effect.Event{Name: "news_failed", Detail: "source=" + b.Name + " err=" + err.Error()})
+		return false
+	}
+	if !n.Routing.Position.IsZero() {
+		f.Push(&input.RoutesConfirmed{Routing: n.Routing, Age: n.RoutingAge})
+	}
+	return true
+}
