--- a/io/emul/objs/store.go
+++ b/io/emul/objs/store.go
@@ -3,9 +3,11 @@
 package objs
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -144,7 +146,9 @@
 	return s.staleLists
 }
 
-// Put creates or updates an object and returns its revision.
+// Put creates or updates an object and returns its revision. As at the platform, a
+// write that changes nothing makes no change, nor does one that changes only the
+// sequence of an instance's entry.
 func (s *Store) Put(kind, name string, spec any) uint64 {
 	raw, ok := spec.(json.RawMessage)
 	if !ok {
@@ -163,6 +167,11 @@
 		s.objects[kind] = make(map[string]Object)
 	}
 	o, exists := s.objects[kind][name]
+	if exists && (bytes.Equal(o.Spec, raw) || kind == kindInstances && sameButSequence(o.Spec, raw)) {
+		o.Spec = raw
+		s.objects[kind][name] = o
+		return o.Meta.Revision
+	}
 	s.changes++
 	if !exists {
 		o.Meta.Created = s.revision()
@@ -173,6 +182,20 @@
 	return s.revision()
 }
 
+// kindInstances is the kind whose entries change only when more than their sequence
+// does.
+const kindInstances = "servers"
+
+func sameButSequence(a, b json.RawMessage) bool {
+	var x, y map[string]any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	delete(x, "sequence")
+	delete(y, "sequence")
+	return reflect.DeepEqual(x, y)
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
--- a/io/emul/soak/check.go
+++ b/io/emul/soak/check.go
@@ -94,16 +94,22 @@
 	}
 }
 
+// servedWindow is the time in which requests are counted after all faults.
+const servedWindow = 3 * time.Second
+
 // checkRecovery checks that requests are served again within recoveryLimit after
-// the last fault, and that no balancer has exited.
+// the last fault, that a change of the configuration takes effect then, and that no
+// balancer has exited.
 func (tb *testbed) checkRecovery(ctx context.Context) {
 	if !loop.Sleep(ctx, recoveryLimit) {
 		return
 	}
 	tb.mu.Lock()
-	before := tb.report.Served["answered"]
+	before, extra := tb.report.Served["answered"], tb.extraRoute
 	tb.mu.Unlock()
-	if !loop.Sleep(ctx, 3*time.Second) {
+	// checkRoutes judges this change, which no fault disturbs.
+	tb.configure(!extra)
+	if !loop.Sleep(ctx, servedWindow) {
 		return
 	}
 	tb.mu.Lock()
@@ -112,7 +118,10 @@
 	// Each client has three flows, and each flow sends more than two requests per
 	// second when nothing fails.
 	if least := tb.opts.Clients; served < least {
-		tb.recordViolation("recovery: %d requests served in 3 s after all faults, want at least %d", served, least)
+		tb.recordViolation("recovery: %d requests served in %s after all faults, want at least %d", served, servedWindow, least)
+	}
+	if !loop.Sleep(ctx, configLimit-servedWindow+time.Second) {
+		return
 	}
 	for _, b := range tb.balancers {
 		if !b.running() {
--- a/io/emul/soak/faults.go
+++ b/io/emul/soak/faults.go
@@ -94,6 +94,7 @@
 		tb.store.SetFault(objs.FaultNone)
 	}},
 	{"compact", false, func(tb *testbed, _ context.Context, _ faultParams) { tb.store.Compact() }},
+	{"restore", false, func(tb *testbed, ctx context.Context, p faultParams) { tb.restoreStore(ctx, p) }},
 	{"configure", true, func(tb *testbed, _ context.Context, p faultParams) { tb.configure(p.pick%2 == 0) }},
 	{"release", true, func(tb *testbed, ctx context.Context, p faultParams) { tb.replace(ctx, p) }},
 	{"crash", false, func(tb *testbed, ctx context.Context, p faultParams) { tb.crash(ctx, p) }},
@@ -149,7 +150,7 @@
 }
 
 // crash silences an instance. As the platform does, it removes the instance's
-// entry after three missed heartbeats of 770 ms and starts a replacement.
+// entry after entryLifetime, and it starts a replacement.
 func (tb *testbed) crash(ctx context.Context, p faultParams) {
 	u := tb.chooseInstance(p)
 	if u == nil {
@@ -159,13 +160,54 @@
 	u.crashed = time.Now()
 	tb.mu.Unlock()
 	u.SetUnresponsive(true)
-	loop.Sleep(ctx, 3*770*time.Millisecond)
+	loop.Sleep(ctx, entryLifetime)
 	tb.unregister(u)
 	if err := tb.addInstance(u.Service, u.dataCentre); err != nil {
 		tb.recordViolation("harness: %v", err)
 	}
 }
 
+// entryLifetime is how long the entry of an instance that no longer writes it
+// stays: three heartbeats of 770 ms.
+const entryLifetime = 3 * 770 * time.Millisecond
+
+// restoreStore takes the store away and brings it back from a copy. Then the
+// configuration and the entries of the running instances are written again, and the
+// entries of those that have ended expire.
+func (tb *testbed) restoreStore(ctx context.Context, p faultParams) {
+	c := tb.store.Copy()
+	// The more changes are lost, the longer the store issues known revisions.
+	for i := range p.pick % 8 {
+		tb.configure(i%2 == 0)
+		loop.Sleep(ctx, p.wait/4)
+	}
+	tb.store.SetFault([]objs.Fault{objs.FaultBusy, objs.FaultSilent, objs.FaultReset}[p.pick%3])
+	loop.Sleep(ctx, p.wait/4)
+	tb.mu.Lock()
+	tb.store.Restore(c)
+	tb.putRouting()
+	tb.mu.Unlock()
+	tb.store.SetFault(objs.FaultNone)
+	// The instances write at the times of their heartbeats.
+	loop.Sleep(ctx, time.Duration(p.pick%770)*time.Millisecond)
+	tb.mu.Lock()
+	for _, u := range tb.instances {
+		if u.registered {
+			tb.register(u)
+		}
+	}
+	tb.mu.Unlock()
+	loop.Sleep(ctx, entryLifetime)
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, u := range tb.instances {
+		if !u.registered {
+			o := u.entry()
+			tb.store.Delete(o.Kind, o.Name)
+		}
+	}
+}
+
 // inject starts random faults for the duration of the run and waits until all
 // have ended. Faults may overlap, also those of the same kind.
 func (tb *testbed) inject(ctx context.Context) {
--- a/io/emul/soak/testbed.go
+++ b/io/emul/soak/testbed.go
@@ -48,6 +48,8 @@
 	drainStarted time.Time
 	// crashed is when the instance was silenced; zero before.
 	crashed time.Time
+	// registered is true while the entry of the instance should be in the store.
+	registered bool
 }
 
 // testbed holds the balancers and everything around them: the store, the
@@ -154,12 +156,16 @@
 // register writes the entry of an instance to the store. The caller holds mu.
 func (tb *testbed) register(u *instance) {
 	u.sequence++
+	u.registered = true
 	o := u.entry()
 	tb.store.Put(o.Kind, o.Name, o.Spec)
 }
 
 // unregister removes the entry of an instance from the store.
 func (tb *testbed) unregister(u *instance) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	u.registered = false
 	o := u.entry()
 	tb.store.Delete(o.Kind, o.Name)
 }
@@ -181,6 +187,11 @@
 	defer tb.mu.Unlock()
 	tb.version++
 	tb.extraRoute = extra
+	tb.putRouting()
+}
+
+// putRouting writes the configuration to the store. The caller holds mu.
+func (tb *testbed) putRouting() {
 	var routes []model.Route
 	add := func(name string, a netip.AddrPort, service string) {
 		routes = append(routes, model.Route{Name: name, Address: a, Idempotent: true, Services: []model.WeightedService{{Service: service, Weight: 1}}})
@@ -188,7 +199,7 @@
 	for _, s := range services {
 		add(s.name, s.address, s.name)
 	}
-	if extra {
+	if tb.extraRoute {
 		add("extra", extraAddress, services[0].name)
 	}
 	o := platform.RoutingObject(tb.version, routes, idleTimeout)
