--- a/io/emul/plat/objects.go
+++ b/io/emul/plat/objects.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -87,6 +88,20 @@
 	return o.Version, true
 }
 
+// copyState returns the present version and objects.
+func (s *objects) copyState() (uint64, map[string]Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, maps.Clone(s.byKey)
+}
+
+// restore replaces the version and the objects. Pending watches wait on.
+func (s *objects) restore(version uint64, byKey map[string]Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.byKey = version, maps.Clone(byKey)
+}
+
 // page returns the objects under prefix that changed after the version, and a
 // channel that is closed on the next write. Deletions are included only for
 // watches.
--- a/io/emul/plat/server.go
+++ b/io/emul/plat/server.go
@@ -55,6 +55,22 @@
 	return o.Value
 }
 
+// Copy is a state to which Restore can take a platform back.
+type Copy struct {
+	version uint64
+	byKey   map[string]Object
+}
+
+// Copy returns a copy of the present state.
+func (s *Server) Copy() Copy {
+	version, byKey := s.objects.copyState()
+	return Copy{version: version, byKey: byKey}
+}
+
+// Restore replaces the state by a copy. What was written since is lost, and its
+// versions are issued again.
+func (s *Server) Restore(c Copy) { s.objects.restore(c.version, c.byKey) }
+
 // ServeHTTP applies the injected faults and serves the call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	served, slow, _, _ := s.Faults.state(r.Header.Get("X-Client"))
--- a/io/relay/active.go
+++ b/io/relay/active.go
@@ -45,6 +45,14 @@
 	return a.cfg
 }
 
+// Recent returns the latest changes that led to the configuration in force, without
+// a gap; none after a snapshot.
+func (a *ActiveConfig) Recent() []rules.Change {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]rules.Change(nil), a.recent...)
+}
+
 // UpdateSince returns the changes after a revision, or a snapshot when the changes
 // kept do not reach back that far.
 func (a *ActiveConfig) UpdateSince(after uint64) peers.Update {
--- a/io/relay/lease.go
+++ b/io/relay/lease.go
@@ -104,6 +104,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.watch(ctx, from) })
 	for {
+		s.repair(ctx, ls)
 		s.writeStatus(ctx, ls)
 		s.snapshotIfDue(ctx, ls)
 		if !s.sleep(ctx, renewInterval) {
@@ -166,6 +167,26 @@
 	return s.o.Active.Apply(&peers.Snapshot{Config: tail.Config})
 }
 
+// repair makes up for a platform that was restored from a copy. It writes the latest
+// changes in force again if they are lost: an accepted edit stays in force, and its
+// revision must not go to another one. And it reads the log, since versions are
+// issued again, and the watch misses the changes below that of before.
+func (s *Syncer) repair(ctx context.Context, ls *leaseState) {
+	if !s.leaseValid(ls) {
+		return
+	}
+	n, err := s.o.Log.Rewrite(ctx, s.o.Active.Recent())
+	if err != nil {
+		s.o.Event("rewrite_failed", "err", err)
+	}
+	if n > 0 {
+		s.o.Event("changes_rewritten", "count", n, "revision", s.o.Active.Config().Revision)
+	}
+	if err := s.catchUp(ctx); err != nil {
+		s.o.Event("platform_failed", "err", err)
+	}
+}
+
 // writeStatus writes status/<dc> when it has changed.
 func (s *Syncer) writeStatus(ctx context.Context, ls *leaseState) {
 	status := store.Status{DataCentre: s.o.Self.DataCentre, Relay: s.holder(), FencingToken: ls.lease.FencingToken}.
--- a/io/relay/syncer.go
+++ b/io/relay/syncer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"egretdock/core/model"
+	"egretdock/core/rules"
 	"egretdock/io/peers"
 	"egretdock/io/store"
 )
@@ -23,6 +24,7 @@
 	PutStatus(ctx context.Context, s store.Status) error
 	WriteSnapshot(ctx context.Context, cfg model.Config) error
 	Prune(ctx context.Context, keep uint64) error
+	Rewrite(ctx context.Context, list []rules.Change) (int, error)
 }
 
 // Peers fetches configuration from other balancers; *peers.Client implements
--- a/io/store/log.go
+++ b/io/store/log.go
@@ -148,7 +148,11 @@
 // or until the platform ends the wait. It returns the version to continue from.
 func (l *Log) WaitForChange(ctx context.Context, from uint64) (uint64, error) {
 	_, version, err := l.objects.Watch(ctx, ChangePrefix, from)
-	return max(from, version), err
+	if err != nil {
+		return from, err
+	}
+	// The version is lower than from if the platform was restored from a copy.
+	return version, nil
 }
 
 func (l *Log) snapshot(ctx context.Context) (model.Config, uint64, error) {
