--- a/io/relay/lease.go
+++ b/io/relay/lease.go
@@ -71,6 +71,8 @@
 	}
 	if version != ls.version || version == 0 {
 		ls.lease, ls.version, ls.firstSeen = lease, version, begin
+		// If the platform was restored from a copy, it has lost the status too.
+		ls.writtenStatus = store.Status{}
 	}
 	next := lease
 	switch {
--- a/io/relay/restore_test.go
+++ b/io/relay/restore_test.go
@@ -30,11 +30,18 @@
 	}
 	s.edit(1)
 	b.awaitRevision(6)
+	b.clock.advance(renewInterval)
 	b.clock.awaitTimer()
 	s.plat.Restore(copied)
 	b.clock.advance(renewInterval)
 	b.awaitEvent("changes_rewritten")
 	s.assertLogEnds(6)
+	t.Run("the status is written again", func(t *testing.T) {
+		b.clock.awaitTimer()
+		if st, err := s.log.Statuses(t.Context()); err != nil || st["east"].Revision != 6 {
+			t.Errorf("status of revision %d, %v; want 6", st["east"].Revision, err)
+		}
+	})
 	t.Run("a later edit is in force", func(*testing.T) {
 		rev := s.edit(1)
 		b.clock.advance(renewInterval)
