--- a/core/engine/store.go
+++ b/core/engine/store.go
@@ -62,9 +62,9 @@
 }
 
 // updateRoster replaces the roster by the result of fn. It reports the first list
-// in one event, and later a restore of the store and each instance that is new, has restarted or has another
-// status. A line for each instance of the first list would take a small host tens
-// of milliseconds before the first packet.
+// in one event, and later a restore of the store and each instance that is new, has
+// restarted or has another status. A line for each instance of the first list would
+// take a small host tens of milliseconds before the first packet.
 func (e *Engine) updateRoster(w *WorkerState, fn func(roster.Roster) (roster.Roster, bool)) {
 	before := e.Tables.Direct()
 	if !cmds.UpdateRoster(&w.locks, &e.Tables, e.Direct.Locality, fn) {
--- a/core/model/instance.go
+++ b/core/model/instance.go
@@ -45,9 +45,10 @@
 	return in
 }
 
-// Supersedes reports whether in is a later state of an instance than old. The instance's own count decides between states of one start, since a
-// restored store may list an older state under a later position. Between two
-// starts the store decides, and across a restore the time of the start.
+// Supersedes reports whether in is a later state of an instance than old. The
+// instance's own count decides between states of one start, since a restored store
+// may list an older state under a later position. Between two starts the store
+// decides, and across a restore the time of the start.
 func (in Instance) Supersedes(old Instance) bool {
 	restored := in.Position.Era != old.Position.Era
 	switch {
--- a/io/emul/soak/testbed.go
+++ b/io/emul/soak/testbed.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -96,6 +97,7 @@
 	tb.server = &http.Server{Handler: tb.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = tb.server.Serve(lis) }()
 	tb.configure(false)
+	tb.putOddEntry()
 	for i := range instancesPerService * len(services) {
 		if err := tb.addInstance(services[i%len(services)].name, dataCentre(i/len(services))); err != nil {
 			return nil, err
@@ -206,6 +208,14 @@
 	tb.store.Put(o.Kind, o.Name, o.Spec)
 }
 
+// putOddEntry leaves an entry among those of the instances that encoding/json
+// refuses, because it is nested deeper than 10,000.
+func (tb *testbed) putOddEntry() {
+	const depth = 10001
+	kind := platform.InstanceObject(model.Instance{}).Kind
+	tb.store.Put(kind, "i-ffffffff", json.RawMessage(strings.Repeat("[", depth)+strings.Repeat("]", depth)))
+}
+
 // idleTimeout is the value used in production.
 const idleTimeout = 15 * time.Second
 
