--- a/io/store/rewrite.go
+++ b/io/store/rewrite.go
@@ -32,11 +32,18 @@
 
 // lostChanges returns the changes at the end of list that the log lacks.
 func (l *Log) lostChanges(ctx context.Context, list []rules.Change) ([]rules.Change, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	// Usually nothing is lost, and one read shows it.
+	if held, err := l.holds(ctx, list[len(list)-1]); held || err != nil {
+		return nil, err
+	}
 	h, err := l.horizon(ctx)
 	if err != nil {
 		return nil, err
 	}
-	for i := len(list); i > 0; i-- {
+	for i := len(list) - 1; i > 0; i-- {
 		c := list[i-1]
 		if c.Revision <= h.Revision {
 			return list[i:], nil
@@ -46,7 +53,7 @@
 			return list[i:], err
 		}
 	}
-	if len(list) == 0 || list[0].Revision == h.Revision+1 {
+	if list[0].Revision == h.Revision+1 {
 		return list, nil
 	}
 	// Changes above a gap would never be read, and the gap would be filled by other
