--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts below review/. The balancers themselves are
+# built by the line of the deploy file. Needs no network.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for d in review/[1-5]; do
+	ls "$d"/*.go >/dev/null 2>&1 || continue
+	go build -tags review -ldflags=-linkmode=external -o "target/review/case$(basename "$d")" "./$d"
+done
