--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -27,10 +27,12 @@
 	program string
 	// sizes has the number of balancers of each zone.
 	sizes []int
-	ports ports
-	store objs.Store
-	start time.Time
-	end   time.Time
+	// maxPause bounds the pause between two requests of a flow.
+	maxPause time.Duration
+	ports    ports
+	store    objs.Store
+	start    time.Time
+	end      time.Time
 
 	mu       sync.Mutex
 	out      *bufio.Writer
@@ -84,10 +86,11 @@
 
 // forward sends a client's packet to the balancer that the routers choose: the
 // first by a hash of the flow among those of the client's zone in rotation.
-func (b *bed) forward(c *client, id flowID, direct *balancer, packet []byte) {
+// It returns that balancer. Packets go to direct instead if it is not nil.
+func (b *bed) forward(c *client, id flowID, direct *balancer, packet []byte) *balancer {
 	if direct != nil {
 		_, _ = c.conn.WriteToUDPAddrPort(packet, netip.AddrPortFrom(direct.ip, b.ports.packets))
-		return
+		return direct
 	}
 	var all, in []*balancer
 	for _, x := range b.balancers {
@@ -115,6 +118,7 @@
 		}
 	}
 	_, _ = c.conn.WriteToUDPAddrPort(packet, netip.AddrPortFrom(best.ip, b.ports.packets))
+	return best
 }
 
 // balancer is one process of the system.
@@ -129,6 +133,9 @@
 	cmd    *exec.Cmd
 	done   chan struct{}
 	misses int
+	// frozen is true while the process is stopped; resumedAt is when it last went on.
+	frozen    bool
+	resumedAt time.Time
 }
 
 func (x *balancer) inRotation() bool {
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -54,7 +54,9 @@
 	c *client
 	// direct is the balancer that gets the flow's packets, or nil for the one that
 	// the routers choose.
-	direct   *balancer
+	direct *balancer
+	// via is the balancer that took the last packet.
+	via      *balancer
 	id       flowID
 	in       chan received
 	seq, ack uint32
@@ -128,7 +130,7 @@
 
 func (f *flow) send(p *segment) {
 	p.src, p.dst, p.echo = f.id.client, f.id.route, f.echo
-	f.c.bed.forward(f.c, f.id, f.direct, p.encode(true))
+	f.via = f.c.bed.forward(f.c, f.id, f.direct, p.encode(true))
 }
 
 // use sends requests until the flow is old enough or ends.
@@ -138,7 +140,7 @@
 		if !f.request() {
 			return
 		}
-		if !f.idle(minPause + time.Duration(rnd.Int64N(int64(maxPause-minPause)))) {
+		if !f.idle(minPause + time.Duration(rnd.Int64N(int64(f.c.bed.maxPause-minPause)))) {
 			return
 		}
 	}
@@ -202,10 +204,12 @@
 	switch {
 	case f.id.route == droppedAddr:
 		f.c.bed.count("reset on the dropped route")
+	case !f.via.inTouch():
+		f.c.bed.count("reset through a balancer out of touch")
 	case p.sum != 0 && p.from == f.server:
 		f.c.bed.count("reset by its own server")
 	default:
-		f.c.bed.violate("client %s, open for %s at the server %s, is reset by %s (system's own reset: %t), %s",
-			f.id.client, time.Since(f.opened).Round(time.Millisecond), f.server, p.from, p.sum == 0, when)
+		f.c.bed.violate("client %s, open for %s at the server %s, is reset by %s (system's own reset: %t) through %s, %s",
+			f.id.client, time.Since(f.opened).Round(time.Millisecond), f.server, p.from, p.sum == 0, f.via.name, when)
 	}
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,7 +3,7 @@
 // Command stand plays one of the scripts of the review against balancer processes.
 // Mode roll stops and starts all balancers, one after the other, under long flows;
 // the client of an open flow must not be reset by anybody but the flow's server. Mode
-// outage lets the store fall silent for some seconds and drops a route just after its
+// freeze does the same while balancers stand still one after the other. Mode outage lets the store fall silent for some seconds and drops a route just after its
 // return; no flow may be opened on it after the bound. It exits with 1 if the rule was
 // broken, with 0 if it held, and with 2 if it couldn't run.
 package main
@@ -30,9 +30,11 @@
 	lossShare       = 0.01
 	requestDeadline = 1500 * time.Millisecond
 	// flowTime is the least age at which a client closes a flow; minPause and
-	// maxPause bound the pause between two of its requests.
+	// maxPause bound the pause between two of its requests. In mode freeze pauses last up
+	// to longPause.
 	flowTime           = 8 * time.Second
 	minPause, maxPause = 500 * time.Millisecond, 5 * time.Second
+	longPause          = 12 * time.Second
 
 	serversPerZone, clientsPerZone, flowsPerClient = 4, 5, 60
 
@@ -54,7 +56,7 @@
 	dir := flag.String("dir", "", "a temporary folder")
 	out := flag.String("record", "", "the file to write")
 	trouble := flag.Bool("trouble", true, "whether the disruption is played")
-	mode := flag.String("mode", "roll", "roll or outage")
+	mode := flag.String("mode", "roll", "roll, freeze or outage")
 	seed := flag.Uint64("seed", 1, "seed of the random choices")
 	flag.Parse()
 	broken, err := play(*program, *dir, *out, *mode, *trouble, *seed)
@@ -77,7 +79,10 @@
 	defer file.Close()
 	b := &bed{
 		dir: dir, program: program, start: time.Now(), out: bufio.NewWriter(file),
-		counts: make(map[string]int), holders: make(map[flowID]*server), sizes: []int{3, 3},
+		counts: make(map[string]int), holders: make(map[flowID]*server), sizes: []int{3, 3}, maxPause: maxPause,
+	}
+	if mode == "freeze" {
+		b.maxPause = longPause
 	}
 	if mode == "outage" {
 		b.sizes = []int{2, 2, 2, 2}
@@ -112,10 +117,16 @@
 		return b.outages(seed, trouble)
 	}
 	b.end = time.Now().Add(rollTime)
+	if mode == "freeze" {
+		b.end = time.Now().Add(freezeTime)
+	}
 	if err := b.startClients(seed); err != nil {
 		return err
 	}
-	if trouble {
+	switch {
+	case trouble && mode == "freeze":
+		b.freezes()
+	case trouble:
 		b.roll()
 	}
 	time.Sleep(time.Until(b.end) + requestDeadline)
