--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -85,7 +85,7 @@
 		b.maxPause = longPause
 	}
 	if mode == "outage" {
-		b.sizes = []int{2, 2, 2, 2}
+		b.sizes = []int{2, 2, 2, 2, 2, 2}
 	}
 	defer b.out.Flush()
 	if err := b.setUp(seed); err != nil {
@@ -141,7 +141,7 @@
 
 func (b *bed) setUp(seed uint64) error {
 	addrs := []netip.Addr{ip(0, 1)}
-	for i := range 2 * max(slices.Max(b.sizes), serversPerZone, clientsPerZone) {
+	for i := range 2 * max(len(b.sizes), serversPerZone, clientsPerZone) {
 		addrs = append(addrs, ip(1, i+1), ip(2, i+1), ip(3, i+1))
 	}
 	free, err := freePorts(addrs, 7)
