--- a/review/stand/outage.go
+++ b/review/stand/outage.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"egretdock/io/emul/objs"
@@ -40,6 +41,7 @@
 	version := 8
 	time.Sleep(leadTime)
 	for time.Until(b.end) > maxOutage+probeTime+restTime {
+		b.checkRoute(c)
 		length := minOutage + time.Duration(rnd.Int64N(int64(maxOutage-minOutage)))
 		if trouble {
 			b.record("the store falls silent for %s", length.Round(time.Millisecond))
@@ -64,6 +66,15 @@
 	return nil
 }
 
+// checkRoute opens a flow on the route through each balancer before it is dropped.
+func (b *bed) checkRoute(c *client) {
+	var wg sync.WaitGroup
+	for _, x := range b.balancers {
+		wg.Go(func() { b.probeOnce(c, x, time.Now(), time.Now()) })
+	}
+	wg.Wait()
+}
+
 // probeDropped opens flows to the dropped route through each balancer in turn until
 // probeTime after the return of the store. It returns how long after the
 // acknowledgement the last opening that a server took was sent.
