Lead a flow whose opening went to two instances to its own, whoever forwards it

Cause: an opening that goes to two instances gets two answers, and each end sends back the token that it received last. The answer of the other instance may come seconds after the flow opened (instances repeat it for up to 9.4 s). An opening and a packet of an open flow carried the same token, so that the token alone could not tell where the flow is open; only the track of one balancer could, and it ended with its process.

Ruled out: a second copy of the data, a reset by the balancer itself (all resets of the record come from the other instance), a token collision. Sending the opening to one instance only would hide it at the price of 1.4 s for each opening that meets a dead instance, and leaves the client's own copies, which other balancers place.

Change: openings carry a token of their own (OpeningToken). An instance gets its other token only with packets of an open flow, so a client that returns that one has its flow open there. A token of an opening is followed only by a balancer that sent the opening, and only for the first data of the client. All else is held for a moment while the other balancers are asked. A balancer that sees such a flow open tells three others at once, those of its data centre first, and a balancer that stops hands over what it knows. If nobody knows, the packet is dropped: an open flow is led to its own instance or to none.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -59,10 +59,11 @@
 	return a
 }
 
-// TrackOpening records that an opening was sent to an instance.
-func TrackOpening(h *locks.Holder, s *table.Set, f packet.FlowID, t table.Track, b *table.Backend) {
+// TrackOpening records that an opening was sent to an instance. It reports false
+// when no more flows can be tracked.
+func TrackOpening(h *locks.Holder, s *table.Set, f packet.FlowID, t table.Track, b *table.Backend) bool {
 	b.State.CountPlacement()
-	s.Tracks.Put(h, f, t)
+	return s.Tracks.Put(h, f, t)
 }
 
 // TrackOpened records that a flow is open at an instance, which has answered.
@@ -152,6 +153,79 @@
 	}
 }
 
+// lateAnswerTime is the time after an opening within which an instance may still
+// answer it: an instance repeats its answer eight times, at intervals of 200 ms to
+// 1.6 s.
+const lateAnswerTime = 10 * time.Second
+
+// ContestedFlows returns the open flows whose openings another instance than their
+// own may still answer, or has answered last.
+func ContestedFlows(h *locks.Holder, now time.Time, s *table.Set, lifetime time.Duration) map[packet.FlowID]table.Track {
+	idle := idleTimeout(s.Direct(), lifetime)
+	return s.Tracks.Select(h, func(t table.Track) bool {
+		return t.State == table.TrackOpen && t.StartKnown &&
+			(now.Before(t.KeepUntil) || t.IsContested() && now.Sub(t.Opened) < lateAnswerTime+idle)
+	})
+}
+
+// HoldSegment keeps a packet until the instance of its flow is known, if there is
+// room, or only notes it. It reports whether other balancers should be asked about
+// the flow: not within interval of the last question, nor within interval of the
+// opening, since the client's first data is usually only late.
+func HoldSegment(h *locks.Holder, now time.Time, s *table.Set, seg *packet.Segment, room bool, interval time.Duration) bool {
+	t, ok := s.Tracks.Get(h, seg.Flow)
+	if !ok {
+		t = table.Track{Opened: now, Reported: true}
+	}
+	ask := now.Sub(t.Sent) >= interval && now.Sub(t.Asked) >= interval
+	if ask {
+		t.Asked = now
+	}
+	if room {
+		t = t.WithHeld(seg.Clone())
+	}
+	t.Seen = now
+	s.Tracks.Put(h, seg.Flow, t)
+	return ask
+}
+
+// TakeHeld returns the packets that wait for the instance of their flow, which no
+// longer holds them.
+func TakeHeld(h *locks.Holder, s *table.Set, f packet.FlowID) []packet.Segment {
+	t, ok := s.Tracks.Get(h, f)
+	if !ok || len(t.Held) == 0 {
+		return nil
+	}
+	t, held := t.WithoutHeld()
+	s.Tracks.Put(h, f, t)
+	return held
+}
+
+// ApplyFlowReport records what another balancer knows of a flow. It reports
+// whether this balancer did not know it. What it has seen itself is kept.
+func ApplyFlowReport(h *locks.Holder, now time.Time, s *table.Set, m *member.FlowReport, lifetime time.Duration) bool {
+	t, ok := s.Tracks.Get(h, m.Flow)
+	if ok && !t.Reported && (t.State != table.TrackOpening || t.Start != m.Start) {
+		return false
+	}
+	if !ok || t.Reported && t.StartKnown && t.Start != m.Start {
+		t = table.Track{Opened: now, Reported: true}
+	}
+	t.Start, t.StartKnown = m.Start, true
+	if m.Open {
+		keep := now.Add(lateAnswerTime + idleTimeout(s.Direct(), lifetime))
+		return s.Tracks.Put(h, m.Flow, t.WithReport(now, m.Instances[0], keep))
+	}
+	if t.State != table.TrackOpening {
+		return false
+	}
+	for _, id := range m.Instances {
+		t = t.WithOffer(id)
+	}
+	t.Seen = now
+	return s.Tracks.Put(h, m.Flow, t)
+}
+
 // transitoryTimeout is how long the track of an opening or closing flow is kept
 // after its last packet, for repeated packets. A sender repeats up to eight
 // times within about 10 s; later packets are routed by their token.
@@ -161,16 +235,24 @@
 // answered.
 func SweepTracks(h *locks.Holder, now time.Time, s *table.Set, lifetime time.Duration) {
 	d := s.Direct()
-	idle := d.Routing.IdleTimeout
-	if idle <= 0 {
-		idle = lifetime
-	}
+	idle := idleTimeout(d, lifetime)
 	s.Tracks.Sweep(h, func(t table.Track) bool {
+		if now.Before(t.KeepUntil) {
+			return false
+		}
 		age := now.Sub(t.Seen)
 		return age > idle || t.State != table.TrackOpen && age > transitoryTimeout
 	}, func(t table.Track) { countClosed(d, t) })
 }
 
+// idleTimeout returns the time without packets after which a flow may be forgotten.
+func idleTimeout(d *table.DirectView, lifetime time.Duration) time.Duration {
+	if d.Routing.IdleTimeout > 0 {
+		return d.Routing.IdleTimeout
+	}
+	return lifetime
+}
+
 // countClosed removes a long-lived flow from the open flows of its instance,
 // unless the instance has restarted since the flow was counted.
 func countClosed(d *table.DirectView, t table.Track) {
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -52,6 +52,8 @@
 
 func (e *Engine) tickOpaqueFlows(w *WorkerState, now time.Time) {
 	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) { return r.WithExpiry(now) })
+	e.flowQueries.Store(0)
+	e.heldPackets.Store(0)
 	e.hedgeOpenings(w, now)
 	e.reportOverdueAnswers(w, now)
 	e.sendFindings(w, now)
@@ -81,7 +83,7 @@
 			continue
 		}
 		e.recordUnansweredOpening(w, now, d, t.Instance)
-		s := packet.Segment{Flow: f, Kind: packet.SegmentOpen, Retransmit: t.Retransmit, Raw: t.Syn}
+		s := packet.Segment{Flow: f, Kind: packet.SegmentOpen, Retransmit: t.Retransmit, Seq: t.Start, Raw: t.Syn}
 		e.placeOpening(w, now, d, route, &s, t, "flow_hedged")
 	}
 }
@@ -126,6 +128,11 @@
 		return
 	}
 	t, tracked := e.Tables.Tracks.Get(&w.locks, s.Flow)
+	if tracked && (t.IsUnknown() || t.StartKnown && t.Start != s.Seq) {
+		// Another flow uses the port again.
+		cmds.ForgetTrack(&w.locks, &e.Tables, s.Flow)
+		tracked = false
+	}
 	switch {
 	case tracked && t.State == table.TrackOpening && s.Retransmit > t.Retransmit:
 		if len(t.Tried()) == 1 {
@@ -137,13 +144,13 @@
 		// A duplicate, or a retransmission that the flow's instance has already
 		// answered.
 		if b, ok := d.Backend(t.Instance); ok {
-			e.deliverSegment(w, s, b)
+			e.deliverSegment(w, s, b, openingToken(b, t.State == table.TrackOpening))
 		}
 	default:
 		if tracked {
 			cmds.ForgetTrack(&w.locks, &e.Tables, s.Flow)
 		}
-		e.placeOpening(w, now, d, route, s, table.Track{Opened: now, Retransmit: s.Retransmit}, "flow_placed")
+		e.placeOpening(w, now, d, route, s, table.Track{Opened: now, Retransmit: s.Retransmit, Start: s.Seq, StartKnown: true}, "flow_placed")
 	}
 }
 
@@ -171,8 +178,8 @@
 	if len(t.Syn) == 0 {
 		t.Syn = append([]byte(nil), s.Raw...)
 	}
-	cmds.TrackOpening(&w.locks, &e.Tables, s.Flow, t, c.Backend)
-	e.deliverSegment(w, s, c.Backend)
+	tracked := cmds.TrackOpening(&w.locks, &e.Tables, s.Flow, t, c.Backend)
+	e.deliverSegment(w, s, c.Backend, openingToken(c.Backend, tracked))
 	if len(t.Tried()) == 1 {
 		w.Out.Add(&effect.Wake{After: hedgeDelay})
 	}
@@ -182,11 +189,14 @@
 func (e *Engine) flowContinue(w *WorkerState, now time.Time, s *packet.Segment) {
 	d := e.Tables.Direct()
 	t, tracked := e.Tables.Tracks.Get(&w.locks, s.Flow)
-	switch target := query.Resolve(d, s, t, tracked).(type) {
+	switch target := query.Resolve(now, d, s, t, tracked).(type) {
 	case query.TargetBackend:
 		e.forwardSegment(w, now, d, s, t, tracked, target.Backend)
 	case query.TargetUnknown:
 		e.reportDecision(w, now, d, s, "packet_dropped", target.Reason, query.Choice{})
+	case query.TargetUnconfirmed:
+		e.reportDecision(w, now, d, s, "packet_held", "opening_unconfirmed", query.Choice{})
+		e.holdSegment(w, now, s)
 	case query.TargetLost:
 		e.resetFlow(w, now, d, s, target.Reason)
 		cmds.ForgetTrack(&w.locks, &e.Tables, s.Flow)
@@ -196,23 +206,36 @@
 // forwardSegment sends a segment of an open flow to its instance.
 func (e *Engine) forwardSegment(w *WorkerState, now time.Time, d *table.DirectView, s *packet.Segment, t table.Track, tracked bool, b *table.Backend) {
 	route, _ := d.Routing.Route(s.Flow.Address)
-	if !tracked || t.State == table.TrackOpening {
+	if tracked && t.State != table.TrackOpening && t.Instance != b.Instance.ID {
+		// The token is of a later flow of the port.
+		cmds.ForgetTrack(&w.locks, &e.Tables, s.Flow)
+		tracked = false
+	}
+	if !tracked || t.Reported || t.State == table.TrackOpening {
 		ev := &effect.Event{Name: "flow_opened", Client: s.Flow.Client, Address: s.Flow.Address, Upstream: b.Instance.Name, Detail: "moved"}
-		if tracked {
+		answered := tracked && !t.Reported
+		switch {
+		case answered:
 			ev.Detail, ev.Elapsed = "answered", now.Sub(t.Sent)
-		} else {
+		case !tracked:
 			t = table.Track{Opened: now, Seen: now}
 		}
 		w.Out.Add(ev)
 		t = cmds.TrackOpened(&w.locks, now, &e.Tables, s.Flow, t, b, route.Idempotent)
+		if answered && t.IsContested() {
+			e.reportOpenFlow(w, s.Flow, t)
+		}
 	}
-	e.deliverSegment(w, s, b)
+	e.deliverSegment(w, s, b, b.Token)
 	switch o := cmds.TrackSegment(&w.locks, now, &e.Tables, s, t, b); {
 	case o.Repeated:
 		e.reportDecision(w, now, d, s, "packet_repeated", "unanswered", query.Choice{Backend: b})
 	case s.Request != nil:
 		e.reportDecision(w, now, d, s, "request_carried", b.Status.String(), query.Choice{Backend: b})
 	}
+	if len(t.Held) > 0 {
+		e.releaseHeld(w, now, s.Flow)
+	}
 }
 
 func (e *Engine) flowEnd(w *WorkerState, now time.Time, s *packet.Segment) {
@@ -222,8 +245,18 @@
 	}
 }
 
-func (e *Engine) deliverSegment(w *WorkerState, s *packet.Segment, b *table.Backend) {
-	w.Out.Deliver(effect.Deliver{To: b.Instance.Endpoint, Instance: b.Instance.ID, Token: b.Token, Raw: s.Raw})
+// openingToken returns the token for an opening. The token of an opening works
+// only with a track, so a flow that is not tracked, or already open, gets the
+// token of an open flow.
+func openingToken(b *table.Backend, opening bool) uint32 {
+	if opening {
+		return b.OpeningToken
+	}
+	return b.Token
+}
+
+func (e *Engine) deliverSegment(w *WorkerState, s *packet.Segment, b *table.Backend, token uint32) {
+	w.Out.Deliver(effect.Deliver{To: b.Instance.Endpoint, Instance: b.Instance.ID, Token: token, Raw: s.Raw})
 }
 
 func (e *Engine) resetFlow(w *WorkerState, now time.Time, d *table.DirectView, s *packet.Segment, reason string) {
--- a/core/engine/direct_test.go
+++ b/core/engine/direct_test.go
@@ -93,17 +93,22 @@
 	f.handle(&input.InstancesChanged{Position: model.Position{Revision: f.listRevision}, Changes: []model.InstanceChange{{Kind: kind, Instance: i}}})
 }
 
+// clientStart is the initial sequence number of the clients.
+const clientStart = 99
+
 // opaqueFlow is the client's side of an opaque flow.
 type opaqueFlow struct {
 	f     *directHarness
 	id    packet.FlowID
 	token uint32
 	seq   uint32
+	// opened is true once the client has sent data.
+	opened bool
 }
 
 func (f *directHarness) flow(address netip.AddrPort) *opaqueFlow {
 	f.clients++
-	return &opaqueFlow{f: f, seq: 100, id: packet.FlowID{
+	return &opaqueFlow{f: f, seq: clientStart + 1, id: packet.FlowID{
 		Client:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(1000+f.clients)),
 		Address: address,
 	}}
@@ -112,12 +117,16 @@
 // open sends an opening: the first transmission for 0, else that
 // retransmission.
 func (o *opaqueFlow) open(retransmit uint32) []effect.Effect {
-	s := packet.Segment{Flow: o.id, Kind: packet.SegmentOpen, Retransmit: retransmit, Raw: []byte("syn")}
+	s := packet.Segment{Flow: o.id, Kind: packet.SegmentOpen, Retransmit: retransmit, Seq: clientStart, Raw: []byte("syn")}
+	if o.opened {
+		s.Raw = []byte("late syn")
+	}
 	return o.f.handle(&input.FlowOpen{Segment: s})
 }
 
 // sendData sends the next payload, or an acknowledgement when n is 0.
 func (o *opaqueFlow) sendData(n int) []effect.Effect {
+	o.opened = true
 	s := packet.Segment{Flow: o.id, Token: o.token, Seq: o.seq, Ack: 500, PayloadLen: n, Raw: []byte("data")}
 	o.seq += uint32(n)
 	return o.f.handle(&input.FlowContinue{Segment: s})
@@ -127,8 +136,9 @@
 func (o *opaqueFlow) mustOpen() uint64 {
 	o.f.t.Helper()
 	id := wantDelivered(o.f.t, o.open(0))
-	o.token = table.Token(id)
+	o.token = table.OpeningToken(id)
 	wantDelivered(o.f.t, o.sendData(10))
+	o.token = table.Token(id)
 	return id
 }
 
@@ -140,8 +150,12 @@
 	for _, e := range es {
 		if d, ok := e.(*effect.Deliver); ok {
 			ids = append(ids, d.Instance)
-			if d.Token != table.Token(d.Instance) {
-				t.Errorf("packet to instance %d carries the token %x of another", d.Instance, d.Token)
+			want := table.Token(d.Instance)
+			if string(d.Raw) == "syn" {
+				want = table.OpeningToken(d.Instance)
+			}
+			if d.Token != want {
+				t.Errorf("packet to instance %d carries the token %x of another or of an opening", d.Instance, d.Token)
 			}
 		}
 	}
@@ -300,9 +314,9 @@
 	first := wantDelivered(t, o.open(0))
 	f.advance(50 * time.Millisecond)
 	second := wantDelivered(t, f.handle(&input.Wake{}))
-	o.token = table.Token(first)
+	o.token = table.OpeningToken(first)
 	wantDelivered(t, o.sendData(10))
-	o.token = table.Token(second)
+	o.token = table.OpeningToken(second)
 	if id := wantDelivered(t, o.sendData(10)); id != first {
 		t.Errorf("packet goes to instance %d, the flow is open at %d", id, first)
 	}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -39,6 +39,10 @@
 	tracksSweptAt atomic.Pointer[time.Time]
 	// findingsSentAt is when failure findings were last sent to other balancers.
 	findingsSentAt atomic.Pointer[time.Time]
+	// flowQueries counts the flows that others were asked about since the last tick.
+	flowQueries atomic.Int32
+	// heldPackets counts the packets that were to be held since the last tick.
+	heldPackets atomic.Int32
 }
 
 // WorkerState is the state of one worker: its effects, random source and held
--- a/core/engine/member.go
+++ b/core/engine/member.go
@@ -12,9 +12,17 @@
 // receiveGossip handles a membership message. If the sender has a newer
 // configuration, it is fetched from there.
 func (e *Engine) receiveGossip(w *WorkerState, now time.Time, m member.Message) {
-	if f, ok := m.(*member.Findings); ok {
-		e.receiveFindings(w, now, f)
+	switch m := m.(type) {
+	case *member.Findings:
+		e.receiveFindings(w, now, m)
 		return
+	case *member.FlowQuery:
+		e.receiveFlowQuery(w, m)
+		return
+	case *member.FlowReport:
+		e.receiveFlowReport(w, now, m)
+		return
+	case *member.Ping, *member.Ack, *member.PingRequest, *member.Pull, *member.Page:
 	}
 	e.updateMembers(w, now, func(s *member.State) []member.Envelope { return s.Receive(now, m, w.Rand) })
 	from, revision := member.Sender(m)
@@ -62,6 +70,7 @@
 // and it continues to relay packets until the front end stops it.
 func (e *Engine) leave(w *WorkerState, now time.Time) {
 	e.Tables.Leaving.Store(true)
+	e.reportOpenFlows(w, now)
 	e.updateMembers(w, now, func(s *member.State) []member.Envelope {
 		s.Leave(now)
 		return s.Tick(now, w.Rand)
--- a/core/member/cmds.go
+++ b/core/member/cmds.go
@@ -49,8 +49,8 @@
 		s.servePage(now, m)
 	case *Page:
 		s.handlePage(now, m)
-	case *Findings:
-		// Findings concern instances, which the engine handles.
+	case *Findings, *FlowQuery, *FlowReport:
+		// These concern instances and flows, which the engine handles.
 	}
 	return s.flush()
 }
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -1,6 +1,9 @@
 package member
 
-import "egretdock/core/model"
+import (
+	"egretdock/core/model"
+	"egretdock/core/packet"
+)
 
 // Message is a membership message between balancers.
 //
@@ -113,6 +116,30 @@
 	List []Finding
 }
 
+// FlowQuery asks what the receiver knows of an opaque flow. It does not affect
+// the failure detector.
+type FlowQuery struct {
+	Header
+	Flow packet.FlowID
+}
+
+// MaxFlowInstances is the highest number of instances in one FlowReport.
+const MaxFlowInstances = 4
+
+// FlowReport says what its sender knows of an opaque flow. It does not affect the
+// failure detector.
+type FlowReport struct {
+	Header
+	Flow packet.FlowID
+	// Start is the client's initial sequence number.
+	Start uint32
+	// Open is true if the flow is open at the only one of Instances. Otherwise they
+	// are those that got an opening.
+	Open bool
+	// Instances are the IDs of 1 to MaxFlowInstances instances.
+	Instances []uint64
+}
+
 // Envelope is a message and the balancer to send it to. It is immutable.
 type Envelope struct {
 	To      model.Balancer
@@ -125,3 +152,5 @@
 func (*Pull) message()        {}
 func (*Page) message()        {}
 func (*Findings) message()    {}
+func (*FlowQuery) message()   {}
+func (*FlowReport) message()  {}
--- a/core/member/query.go
+++ b/core/member/query.go
@@ -77,6 +77,10 @@
 		h = m.Header
 	case *Findings:
 		h = m.Header
+	case *FlowQuery:
+		h = m.Header
+	case *FlowReport:
+		h = m.Header
 	}
 	return h.From, h.Revision
 }
--- a/core/packet/segment.go
+++ b/core/packet/segment.go
@@ -1,6 +1,7 @@
 package packet
 
 import (
+	"bytes"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,3 +62,9 @@
 	// Raw is the packet as received. It is valid only while its input is handled.
 	Raw []byte
 }
+
+// Clone returns a copy that stays valid after its input was handled.
+func (s Segment) Clone() Segment {
+	s.Raw, s.Request = bytes.Clone(s.Raw), bytes.Clone(s.Request)
+	return s
+}
--- a/core/query/direct_test.go
+++ b/core/query/direct_test.go
@@ -253,11 +253,11 @@
 	routing := model.Routing{Position: model.Position{Revision: 1}}.WithRoutes([]model.Route{{Address: address, Services: orders.Services}})
 	d := (&table.DirectView{}).WithRouting(routing).WithRoster(roster.Roster{}.WithList(placeStart, list, model.Position{Revision: 1}), table.Locality{DataCentre: "ain"})
 	s := &packet.Segment{Flow: flowID(0), Token: table.Token(first)}
-	if got, ok := Resolve(d, s, table.Track{}, false).(TargetUnknown); !ok || got.Reason != "token_ambiguous" {
+	if got, ok := Resolve(placeStart, d, s, table.Track{}, false).(TargetUnknown); !ok || got.Reason != "token_ambiguous" {
 		t.Errorf("an ambiguous token resolves to %+v", got)
 	}
 	t.Run("known from the flow's opening", func(t *testing.T) {
-		got, ok := Resolve(d, s, table.Track{}.WithOpen(second), true).(TargetBackend)
+		got, ok := Resolve(placeStart, d, s, table.Track{}.WithOpen(second), true).(TargetBackend)
 		if !ok || got.Backend.Instance.ID != second {
 			t.Errorf("resolves to %+v, want instance %d", got, second)
 		}
--- a/core/query/news.go
+++ b/core/query/news.go
@@ -9,6 +9,7 @@
 
 	"egretdock/core/member"
 	"egretdock/core/model"
+	"egretdock/core/packet"
 	"egretdock/core/rank"
 	"egretdock/core/table"
 )
@@ -97,6 +98,56 @@
 	return out
 }
 
+const (
+	// localKeepers is the number of balancers of the own data centre that are told
+	// of a flow, and flowKeepers the number in all.
+	localKeepers = 2
+	flowKeepers  = 3
+)
+
+// FlowKeepers returns the other live balancers that are told where a flow is open:
+// those of self's data centre first, which take its packets when self stops. The
+// order of a group depends on the flow.
+func FlowKeepers(v member.View, self model.Balancer, f packet.FlowID) []model.Balancer {
+	local, others := rankedPeers(v, self, f)
+	local = local[:min(len(local), localKeepers)]
+	return append(local, others[:min(len(others), flowKeepers-len(local))]...)
+}
+
+// FlowWitnesses returns the balancers that may know where a flow is open: all of
+// self's data centre, also those that are stopping, and the first others in
+// FlowKeepers' order.
+func FlowWitnesses(v member.View, self model.Balancer, f packet.FlowID) []model.Balancer {
+	local, others := rankedPeers(v, self, f)
+	local = append(local, others[:min(len(others), flowKeepers)]...)
+	for _, b := range v.Leaving() {
+		if b.DataCentre == self.DataCentre && b.Name != self.Name {
+			local = append(local, b)
+		}
+	}
+	return local
+}
+
+// rankedPeers returns the other live balancers in the order of their hashes with a
+// flow, in two groups: those of self's data centre and the others.
+func rankedPeers(v member.View, self model.Balancer, f packet.FlowID) (local, others []model.Balancer) {
+	for _, b := range v.Balancers() {
+		switch {
+		case b.Name == self.Name || !b.Fetch.IsValid():
+		case b.DataCentre == self.DataCentre:
+			local = append(local, b)
+		default:
+			others = append(others, b)
+		}
+	}
+	key := f.Hash()
+	score := func(b model.Balancer) uint64 { return rank.Mix(key ^ xxhash.Sum64String(b.Name)) }
+	for _, list := range [][]model.Balancer{local, others} {
+		slices.SortFunc(list, func(a, b model.Balancer) int { return cmp.Compare(score(a), score(b)) })
+	}
+	return local, others
+}
+
 // NewsSources returns the other live balancers that serve news, those of self's
 // data centre first. The order within each group differs between balancers, so
 // that many that start at once don't all ask the same one.
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -14,8 +14,10 @@
 // except that State has its own lock.
 type Backend struct {
 	roster.Member
-	// Token identifies the instance in the packets of its flows; never 0.
+	// Token identifies the instance in the packets of its open flows; never 0.
 	Token uint32
+	// OpeningToken identifies it in openings, which other instances may also get.
+	OpeningToken uint32
 	// Key is the instance's hash for rendezvous ranking.
 	Key uint64
 	// State is shared by all views until the instance starts again.
@@ -63,13 +65,20 @@
 	return b, ok
 }
 
-// ByToken returns the instances that a token may name; usually one.
+// ByToken returns the instances that a token of an open flow may name; usually
+// one.
 func (d *DirectView) ByToken(token uint32) []*Backend { return d.byToken[token] }
 
+// ByOpeningToken returns the instances that a token of an opening may name;
+// usually one.
+func (d *DirectView) ByOpeningToken(token uint32) []*Backend { return d.byToken[token^openingMask] }
+
 // Backends returns all instances; callers must not modify the map.
 func (d *DirectView) Backends() map[uint64]*Backend { return d.byID }
 
-// Token returns the token of an instance, which is the same on every balancer.
+// Token returns the token of an instance in the packets of its open flows. It is
+// the same on every balancer. An instance gets it only with packets that continue
+// a flow, so a client that returns it has its flow open there.
 func Token(id uint64) uint32 {
 	var b [8]byte
 	for i := range b {
@@ -81,6 +90,14 @@
 	return 1
 }
 
+// openingMask distinguishes the two tokens of an instance.
+const openingMask = 0x9e3779b9
+
+// OpeningToken returns the token of an instance in openings. An opening may go to
+// several instances, and the client returns the token of the last answer, also
+// when its flow is open at another instance.
+func OpeningToken(id uint64) uint32 { return Token(id) ^ openingMask }
+
 // WithRouting returns a copy with other routes.
 func (d *DirectView) WithRouting(r model.Routing) *DirectView {
 	next := *d
@@ -152,7 +169,7 @@
 }
 
 func (d *DirectView) add(prev *DirectView, m roster.Member) *Backend {
-	b := &Backend{Member: m, Token: Token(m.Instance.ID), Key: xxhash.Sum64String(m.Instance.Name)}
+	b := &Backend{Member: m, Token: Token(m.Instance.ID), OpeningToken: OpeningToken(m.Instance.ID), Key: xxhash.Sum64String(m.Instance.Name)}
 	if old := prev.byID[m.Instance.ID]; old != nil && old.Instance.StartMillis == m.Instance.StartMillis {
 		b.State = old.State
 	} else {
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"time"
 
 	"egretdock/core/locks"
@@ -37,6 +38,10 @@
 	Opened, Seen, Sent time.Time
 	// Retransmit is the highest copy number among the openings.
 	Retransmit uint32
+	// Start is the client's initial sequence number. It is valid if StartKnown is
+	// true, that is unless the flow was first seen when it was open.
+	Start      uint32
+	StartKnown bool
 	// Seq and Ack are the highest sequence and acknowledgement numbers seen
 	// from the client once the flow is open.
 	Seq, Ack uint32
@@ -54,6 +59,17 @@
 	InstanceStartMillis uint64
 	// Syn is a copy of the opening while State is TrackOpening.
 	Syn []byte
+	// Reported is true while this balancer knows the flow only from another one. It
+	// has then seen no packet that it could forward.
+	Reported bool
+	// KeepUntil is the time until which a reported flow is kept although this
+	// balancer sees no packet of it.
+	KeepUntil time.Time
+	// Asked is when other balancers were last asked about the flow.
+	Asked time.Time
+	// Held are the client's packets, at most MaxHeld, that wait until the flow's
+	// instance is known. They are never modified.
+	Held []packet.Segment
 
 	tried  [MaxTried]uint64
 	nTried uint8
@@ -72,9 +88,64 @@
 	return false
 }
 
-// WithTry returns a copy that records an opening sent to an instance.
-func (t Track) WithTry(now time.Time, id uint64) Track {
-	t.Instance, t.Sent, t.Seen = id, now, now
+// firstResend is the time after which a client repeats an opening. Until then no
+// other balancer has got one.
+const firstResend = 200 * time.Millisecond
+
+// Confirms reports whether a packet with the token of an instance's opening shows
+// that the client opens the flow there. The client's first data does, as it is
+// sent on the answer that opens the flow. Any later packet may carry the token of
+// another instance's late answer, unless nothing else can have been offered the
+// flow.
+func (t *Track) Confirms(now time.Time, s *packet.Segment, id uint64) bool {
+	switch {
+	case t.State != TrackOpening || !t.HasTried(id):
+		return false
+	case s.Seq == t.Start || s.Seq == t.Start+1:
+		return true
+	}
+	return len(t.Tried()) == 1 && t.Retransmit == 0 && now.Sub(t.Opened) < firstResend
+}
+
+// maxFlowBytes bounds how far a client's sequence number moves while it uses one
+// flow: the number of another flow of the same port is mostly farther away.
+const maxFlowBytes = 1 << 28
+
+// Covers reports whether a packet can belong to the tracked flow, rather than to
+// another one that uses its port again.
+func (t *Track) Covers(s *packet.Segment) bool {
+	return !t.StartKnown || s.Seq-t.Start < maxFlowBytes
+}
+
+// IsContested reports whether an instance other than that of the flow may have got
+// an opening of it, through this balancer or another one.
+func (t *Track) IsContested() bool { return len(t.Tried()) > 1 || t.Retransmit > 0 }
+
+// MaxHeld is the number of packets that a client has in flight at most.
+const MaxHeld = 16
+
+// WithHeld returns a copy that holds one more packet, if there is room.
+func (t Track) WithHeld(s packet.Segment) Track {
+	if len(t.Held) < MaxHeld {
+		t.Held = append(slices.Clip(t.Held), s)
+	}
+	return t
+}
+
+// WithoutHeld returns a copy that holds no packets, and the packets.
+func (t Track) WithoutHeld() (Track, []packet.Segment) {
+	held := t.Held
+	t.Held = nil
+	return t, held
+}
+
+// IsUnknown reports whether nothing is known of the flow but that others were
+// asked about it.
+func (t *Track) IsUnknown() bool { return t.State == TrackOpening && len(t.Tried()) == 0 }
+
+// WithOffer returns a copy in which another balancer has sent an opening to an
+// instance.
+func (t Track) WithOffer(id uint64) Track {
 	if !t.HasTried(id) && int(t.nTried) < MaxTried {
 		t.tried[t.nTried] = id
 		t.nTried++
@@ -82,9 +153,23 @@
 	return t
 }
 
+// WithTry returns a copy that records an opening sent to an instance.
+func (t Track) WithTry(now time.Time, id uint64) Track {
+	t.Instance, t.Sent, t.Seen = id, now, now
+	return t.WithOffer(id)
+}
+
 // WithOpen returns a copy that is open at an instance.
 func (t Track) WithOpen(id uint64) Track {
-	t.State, t.Instance, t.Syn = TrackOpen, id, nil
+	t.State, t.Instance, t.Syn, t.Reported = TrackOpen, id, nil, false
+	return t
+}
+
+// WithReport returns a copy that is open at an instance, as another balancer has
+// reported, and is kept until the given time.
+func (t Track) WithReport(now time.Time, id uint64, keepUntil time.Time) Track {
+	t = t.WithOpen(id)
+	t.Reported, t.Seen, t.KeepUntil = true, now, keepUntil
 	return t
 }
 
@@ -134,6 +219,9 @@
 // awaitsInstance reports whether the flow awaits an answer of its instance that
 // is not overdue.
 func (t *Track) awaitsInstance() bool {
+	if t.Reported {
+		return false
+	}
 	return t.State == TrackOpening || !t.AwaitingSince.IsZero() && !t.Overdue
 }
 
@@ -239,6 +327,22 @@
 	return n
 }
 
+// Select returns the flows that match fn and their tracks.
+func (ts *Tracks) Select(h *locks.Holder, fn func(Track) bool) map[packet.FlowID]Track {
+	out := make(map[packet.FlowID]Track)
+	for i := range ts.shards {
+		s := &ts.shards[i]
+		s.mu.Lock(h, locks.RankTracks)
+		for f, t := range s.m {
+			if fn(t) {
+				out[f] = t
+			}
+		}
+		s.mu.Unlock(h, locks.RankTracks)
+	}
+	return out
+}
+
 // Sweep removes the tracks for which fn reports true and calls onRemove with
 // each of them, outside the lock.
 func (ts *Tracks) Sweep(h *locks.Holder, fn func(Track) bool, onRemove func(Track)) {
--- a/io/front/page_test.go
+++ b/io/front/page_test.go
@@ -40,7 +40,7 @@
 	eventNames := regexp.MustCompile(`(?:Name: |Name = |name [:=]?= )"([a-z]+_?[a-z_]*)"`)
 	decisionNames := regexp.MustCompile(`(?:reportDecision|placeOpening)\(w, now, d, (?:route, )?&?s, (?:t, |table\.Track\{[^}]*\}, )?"([a-z_]+)"`)
 	found := 0
-	for _, path := range []string{"../../core/engine/direct.go", "../../core/engine/finding.go", "../feed/feed.go", "../feed/peers.go", "../feed/start.go", "../feed/sources.go", "app.go", "leave.go", "reload.go", "stats.go"} {
+	for _, path := range []string{"../../core/engine/direct.go", "../../core/engine/finding.go", "../../core/engine/handover.go", "../feed/feed.go", "../feed/peers.go", "../feed/start.go", "../feed/sources.go", "app.go", "leave.go", "reload.go", "stats.go"} {
 		b, err := os.ReadFile(path)
 		if err != nil {
 			t.Fatal(err)
--- a/io/gossip/decode.go
+++ b/io/gossip/decode.go
@@ -73,7 +73,7 @@
 		case fieldCounter:
 			out.counter = f.number
 			return nil
-		case fieldPing, fieldAck, fieldPingRequest, fieldPull, fieldPage, fieldFindings:
+		case fieldPing, fieldAck, fieldPingRequest, fieldPull, fieldPage, fieldFindings, fieldFlowQuery, fieldFlowReport:
 			if out.message != nil {
 				return errors.New("two messages in one frame")
 			}
@@ -102,6 +102,7 @@
 	var target model.Balancer
 	var name string
 	var findings []member.Finding
+	var flow member.FlowReport
 	limit := member.MaxUpdates
 	if f.id == fieldPage {
 		limit = member.PageUpdates
@@ -134,6 +135,8 @@
 			var finding member.Finding
 			finding, err = decodeFinding(f.bytes)
 			findings = append(findings, finding)
+		case fieldFlow:
+			flow, err = decodeFlow(f.bytes)
 		default:
 		}
 		return err
@@ -144,6 +147,9 @@
 	if err == nil && f.id == fieldPingRequest {
 		err = checkReachable(target)
 	}
+	if err == nil && (f.id == fieldFlowQuery || f.id == fieldFlowReport) {
+		err = checkFlow(&flow, f.id == fieldFlowReport)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -158,6 +164,11 @@
 		return &member.Pull{Header: h, After: name}, nil
 	case fieldFindings:
 		return &member.Findings{Header: h, List: findings}, nil
+	case fieldFlowQuery:
+		return &member.FlowQuery{Header: h, Flow: flow.Flow}, nil
+	case fieldFlowReport:
+		flow.Header = h
+		return &flow, nil
 	default:
 		return &member.Page{Header: h, Next: name}, nil
 	}
@@ -211,6 +222,43 @@
 	return out, err
 }
 
+// decodeFlow decodes a flow as a report without its header.
+func decodeFlow(b []byte) (member.FlowReport, error) {
+	var out member.FlowReport
+	err := forEachField(b, func(f field) (err error) {
+		switch f.id {
+		case fieldFlowClient:
+			out.Flow.Client, err = decodeAddr(f.bytes, netip.Addr{})
+		case fieldFlowAddress:
+			out.Flow.Address, err = decodeAddr(f.bytes, netip.Addr{})
+		case fieldFlowStart:
+			out.Start = uint32(f.number)
+		case fieldFlowOpen:
+			out.Open = f.number != 0
+		case fieldFlowInstance:
+			if len(out.Instances) == member.MaxFlowInstances {
+				return errors.Errorf("more than %d instances of a flow", member.MaxFlowInstances)
+			}
+			out.Instances = append(out.Instances, f.number)
+		default:
+		}
+		return err
+	})
+	return out, err
+}
+
+// checkFlow returns an error if a flow lacks an IPv4 address, or a report the
+// instances that it must have.
+func checkFlow(m *member.FlowReport, report bool) error {
+	switch {
+	case !m.Flow.Client.Addr().Is4() || !m.Flow.Address.Addr().Is4():
+		return errors.New("flow without two IPv4 addresses")
+	case report && (len(m.Instances) == 0 || m.Open && len(m.Instances) != 1):
+		return errors.Errorf("report of a flow with %d instances", len(m.Instances))
+	}
+	return nil
+}
+
 func decodeBalancer(b []byte) (model.Balancer, error) {
 	var v model.Balancer
 	var fetch []byte
--- a/io/gossip/encode.go
+++ b/io/gossip/encode.go
@@ -7,18 +7,21 @@
 
 	"egretdock/core/member"
 	"egretdock/core/model"
+	"egretdock/core/packet"
 )
 
 // Fields of a frame. Exactly one of the message fields is present.
 const (
-	fieldSender      protowire.Number = 1 // fixed64
-	fieldCounter     protowire.Number = 2 // uint64
-	fieldPing        protowire.Number = 3 // message
-	fieldAck         protowire.Number = 4 // message
-	fieldPingRequest protowire.Number = 5 // message
-	fieldPull        protowire.Number = 6 // message
-	fieldPage        protowire.Number = 7 // message
-	fieldFindings    protowire.Number = 8 // message
+	fieldSender      protowire.Number = 1  // fixed64
+	fieldCounter     protowire.Number = 2  // uint64
+	fieldPing        protowire.Number = 3  // message
+	fieldAck         protowire.Number = 4  // message
+	fieldPingRequest protowire.Number = 5  // message
+	fieldPull        protowire.Number = 6  // message
+	fieldPage        protowire.Number = 7  // message
+	fieldFindings    protowire.Number = 8  // message
+	fieldFlowQuery   protowire.Number = 9  // message
+	fieldFlowReport  protowire.Number = 10 // message
 )
 
 // Fields of a message.
@@ -31,6 +34,7 @@
 	fieldTarget   protowire.Number = 6 // balancer, PingRequest only
 	fieldCursor   protowire.Number = 7 // string: After of Pull, Next of Page
 	fieldFinding  protowire.Number = 8 // repeated finding, Findings only
+	fieldFlow     protowire.Number = 9 // flow, FlowQuery and FlowReport only
 )
 
 // Fields of a finding.
@@ -39,6 +43,15 @@
 	fieldFailures protowire.Number = 2 // uint64
 )
 
+// Fields of a flow. A query has only the two addresses.
+const (
+	fieldFlowClient   protowire.Number = 1 // bytes: IP, then port, big endian
+	fieldFlowAddress  protowire.Number = 2 // bytes: as client
+	fieldFlowStart    protowire.Number = 3 // uint64
+	fieldFlowOpen     protowire.Number = 4 // uint64: 1 if open
+	fieldFlowInstance protowire.Number = 5 // repeated fixed64
+)
+
 // Fields of a balancer and of an update; fieldStatus occurs in updates only.
 const (
 	fieldBalancerName protowire.Number = 1 // string
@@ -69,6 +82,12 @@
 			h = appendBytes(h, fieldFinding, appendFinding(nil, f))
 		}
 		return appendBytes(b, fieldFindings, h)
+	case *member.FlowQuery:
+		h := appendHeader(nil, &m.Header)
+		return appendBytes(b, fieldFlowQuery, appendBytes(h, fieldFlow, appendFlow(nil, m.Flow)))
+	case *member.FlowReport:
+		h := appendHeader(nil, &m.Header)
+		return appendBytes(b, fieldFlowReport, appendBytes(h, fieldFlow, appendFlowReport(nil, m)))
 	}
 	return b
 }
@@ -91,6 +110,23 @@
 	return appendUint(b, fieldFailures, uint64(f.Failures))
 }
 
+func appendFlow(b []byte, f packet.FlowID) []byte {
+	b = appendBytes(b, fieldFlowClient, appendAddr(nil, f.Client, netip.Addr{}))
+	return appendBytes(b, fieldFlowAddress, appendAddr(nil, f.Address, netip.Addr{}))
+}
+
+func appendFlowReport(b []byte, m *member.FlowReport) []byte {
+	b = appendUint(appendFlow(b, m.Flow), fieldFlowStart, uint64(m.Start))
+	if m.Open {
+		b = appendUint(b, fieldFlowOpen, 1)
+	}
+	for _, id := range m.Instances {
+		b = protowire.AppendTag(b, fieldFlowInstance, protowire.Fixed64Type)
+		b = protowire.AppendFixed64(b, id)
+	}
+	return b
+}
+
 func appendBalancer(b []byte, v model.Balancer) []byte {
 	b = appendString(b, fieldBalancerName, v.Name)
 	b = appendString(b, fieldDataCentre, v.DataCentre)
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"egretdock/core/fault"
 	"egretdock/core/member"
 	"egretdock/core/model"
+	"egretdock/core/packet"
 )
 
 var (
@@ -22,6 +23,7 @@
 		Peer: netip.MustParseAddrPort("10.0.0.1:7100"), Fetch: netip.MustParseAddrPort("10.0.0.1:7101"), Capacity: 134,
 	}
 	ipv6Balancer = model.Balancer{Name: "balancer-2", Peer: netip.MustParseAddrPort("[fd00::2]:7100"), Fetch: netip.MustParseAddrPort("10.9.0.2:7101")}
+	flow         = packet.FlowID{Client: netip.MustParseAddrPort("100.64.0.7:40001"), Address: netip.MustParseAddrPort("198.18.0.1:443")}
 	header       = member.Header{Seq: 9, From: ipv4Balancer, Revision: 77, Digest: 1 << 63, Updates: []member.Update{
 		{Balancer: ipv6Balancer},
 		{Balancer: model.Balancer{Name: "balancer-3", Incarnation: 1 << 60}, Status: member.StatusDead},
@@ -31,6 +33,9 @@
 		&member.Pull{Header: header, After: "balancer-2"}, &member.Page{Header: header, Next: "balancer-4"},
 		&member.Ping{Header: member.Header{From: ipv6Balancer}},
 		&member.Findings{Header: member.Header{From: ipv4Balancer}, List: []member.Finding{{Instance: 1 << 63, Failures: 1}, {Instance: 7, Failures: 300}}},
+		&member.FlowQuery{Header: member.Header{From: ipv4Balancer}, Flow: flow},
+		&member.FlowReport{Header: member.Header{From: ipv4Balancer}, Flow: flow, Start: 1 << 31, Open: true, Instances: []uint64{1 << 63}},
+		&member.FlowReport{Header: member.Header{From: ipv4Balancer}, Flow: flow, Instances: []uint64{1, 2, 3, 4}},
 	}
 )
 
