Teach the stand-ins late answers, and make the soak's balancers one fleet

- The stand-in instance answered an opening once and lost nothing.
Now 1% of its packets to clients is lost and an answer is repeated until it is acknowledged, after 200 ms and at intervals up to 1.6 s, eight times.
- The stand-in client took a token only when it waited for an answer, so never while it was idle.
Now it takes each when it arrives; every fourth flow ignores those of answers that it doesn't acknowledge, as the protocol allows both.
Pauses are up to 7 s now and then.
- The soak gave each balancer a store address of its own, for a link of its own.
The key of the fleet is derived from that address, so that no balancer of a soak ever was a member of another's fleet: no member_joined but the own in any log.
News, findings and membership had never met a fault there.
All have one address now, and a hub tells them apart by the process that holds the other end of a connection.

TestBalancersAreMembers guards the fleet.

--- a/io/emul/opaq/client.go
+++ b/io/emul/opaq/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -73,6 +74,7 @@
 		if f == nil {
 			continue
 		}
+		f.noteToken(&p)
 		select {
 		case f.in <- receivedPacket{p, append([]byte(nil), data...)}:
 		default:
@@ -91,7 +93,13 @@
 	client *Client
 	id     packet.FlowID
 	in     chan receivedPacket
-	token  uint32
+	// token is the one received last.
+	token atomic.Uint32
+	// ignoresLate makes the client not take the token of an answer to its opening
+	// that it doesn't acknowledge. The protocol allows both.
+	ignoresLate bool
+	// opened is true once the client has acknowledged an answer to its opening.
+	opened atomic.Bool
 	// seq and ack are the next sequence numbers of the client and the instance.
 	seq, ack uint32
 	// Instance is the ID of the instance that answered the opening.
@@ -103,7 +111,7 @@
 	c.mu.Lock()
 	c.port++
 	id := packet.FlowID{Client: netip.AddrPortFrom(c.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr(), c.port), Address: address}
-	f := &Flow{client: c, id: id, in: make(chan receivedPacket, 64), seq: 1000}
+	f := &Flow{client: c, id: id, in: make(chan receivedPacket, 64), seq: 1000, ignoresLate: c.port%4 == 0}
 	c.flows[id] = f
 	c.mu.Unlock()
 	for i, at := range openSchedule[:len(openSchedule)-1] {
@@ -116,6 +124,7 @@
 			f.Forget()
 			return nil, err
 		}
+		f.opened.Store(true)
 		f.seq, f.ack = f.seq+1, a.packet.Seq+1
 		f.Instance = uint64(a.packet.Seq)
 		return f, nil
@@ -146,6 +155,14 @@
 	return ErrTimeout
 }
 
+// noteToken takes over the token of a packet when it arrives, also while the flow
+// is idle.
+func (f *Flow) noteToken(p *platform.PacketHeader) {
+	if !p.Reset && !(p.Open && f.ignoresLate && f.opened.Load()) {
+		f.token.Store(p.Token)
+	}
+}
+
 // Forget removes the flow from the client without notifying the instance.
 func (f *Flow) Forget() {
 	f.client.mu.Lock()
@@ -154,7 +171,7 @@
 }
 
 func (f *Flow) send(p platform.PacketHeader, data []byte) {
-	p.From, p.To, p.Token = f.id.Client, f.id.Address, f.token
+	p.From, p.To, p.Token = f.id.Client, f.id.Address, f.token.Load()
 	if to := f.client.route(f.id); to.IsValid() {
 		// A send error counts as a lost packet.
 		_, _ = f.client.conn.WriteToUDPAddrPort(platform.AppendPacket(nil, p, data), to)
@@ -175,7 +192,6 @@
 			if a.packet.Reset {
 				return receivedPacket{}, ErrReset
 			}
-			f.token = a.packet.Token
 			if matches(a) {
 				return a, nil
 			}
--- a/io/emul/opaq/upstream.go
+++ b/io/emul/opaq/upstream.go
@@ -5,6 +5,7 @@
 package opaq
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,12 +27,16 @@
 	Service string
 	// Port is the port on which clients receive.
 	Port uint16
+	// LossShare is the share of the packets to clients that is lost.
+	LossShare float64
 
 	conn *net.UDPConn
 	mu   sync.Mutex
 	// flows holds the next sequence number expected in each flow.
 	flows map[packet.FlowID]uint32
-	stats UpstreamStats
+	// offers holds the answers to openings that no client has acknowledged.
+	offers map[packet.FlowID]*offer
+	stats  UpstreamStats
 	// unresponsive makes the instance ignore all packets.
 	unresponsive bool
 }
@@ -47,13 +52,23 @@
 	Resets int
 }
 
+// offer is an answer to an opening, which is repeated until it is acknowledged.
+type offer struct{ reply platform.PacketHeader }
+
+// An unacknowledged answer is repeated after firstRepeat; the interval doubles up
+// to lastRepeat. It is given up after maxRepeats.
+const (
+	firstRepeat, lastRepeat = 200 * time.Millisecond, 1600 * time.Millisecond
+	maxRepeats              = 8
+)
+
 // Start binds the instance to an address; port 0 selects a free port.
 func (u *Upstream) Start(at netip.AddrPort) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		return errors.Wrap(err, "bind the socket of a stand-in upstream")
 	}
-	u.conn, u.flows = conn, make(map[packet.FlowID]uint32)
+	u.conn, u.flows, u.offers = conn, make(map[packet.FlowID]uint32), make(map[packet.FlowID]*offer)
 	go u.run()
 	return nil
 }
@@ -115,8 +130,12 @@
 		u.stats.LastOpening = time.Now()
 		// The sequence number is the ID, so that a client knows who answered.
 		reply.Open, reply.Seq, reply.Ack = true, uint32(u.ID), p.Seq+1
+		if !held {
+			u.offer(f, reply)
+		}
 	case !held && p.Ack == uint32(u.ID)+1:
 		u.stats.Opened++
+		delete(u.offers, f)
 		u.flows[f] = p.Seq
 		next = p.Seq
 		fallthrough
@@ -133,7 +152,44 @@
 		u.stats.Resets++
 		reply.Reset, reply.Seq, reply.HasAck, data = true, p.Ack, false, nil
 	}
-	to := netip.AddrPortFrom(p.From.Addr(), u.Port)
-	// If the answer is lost, the client retransmits and gets another.
-	_, _ = u.conn.WriteToUDPAddrPort(platform.AppendPacket(nil, reply, data), to)
+	u.send(reply, data)
+}
+
+// send sends a packet to a client. If an answer is lost, the client retransmits and
+// gets another.
+func (u *Upstream) send(p platform.PacketHeader, data []byte) {
+	if rand.Float64() < u.LossShare {
+		return
+	}
+	to := netip.AddrPortFrom(p.To.Addr(), u.Port)
+	_, _ = u.conn.WriteToUDPAddrPort(platform.AppendPacket(nil, p, data), to)
+}
+
+// offer repeats the answer to an opening until a client acknowledges it. A copy of
+// the opening only changes the token. The caller holds mu.
+func (u *Upstream) offer(f packet.FlowID, reply platform.PacketHeader) {
+	if o, ok := u.offers[f]; ok {
+		o.reply = reply
+		return
+	}
+	o := &offer{reply: reply}
+	u.offers[f] = o
+	u.repeat(f, o, 1, firstRepeat)
+}
+
+// repeat sends an answer once more after wait, and so on.
+func (u *Upstream) repeat(f packet.FlowID, o *offer, n int, wait time.Duration) {
+	time.AfterFunc(wait, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if u.offers[f] != o || u.unresponsive {
+			return
+		}
+		if n > maxRepeats {
+			delete(u.offers, f)
+			return
+		}
+		u.send(o.reply, nil)
+		u.repeat(f, o, n+1, min(2*wait, lastRepeat))
+	})
 }
--- a/io/emul/soak/balancer.go
+++ b/io/emul/soak/balancer.go
@@ -48,11 +48,7 @@
 
 // writeSettings writes the settings file that the platform provides in
 // production.
-func (b *balancer) writeSettings(dir string, seed netip.Addr) error {
-	store, err := netip.ParseAddrPort(b.store.addr())
-	if err != nil {
-		return errors.Wrap(err, "parse the address of the store proxy")
-	}
+func (b *balancer) writeSettings(dir string, seed netip.Addr, store netip.AddrPort) error {
 	text, err := platform.FormatSettings(platform.Settings{
 		Name: b.name, DataCentre: b.dataCentre, Regions: map[string]string{dataCentre(0): "r", dataCentre(1): "r"},
 		PacketAddr: netip.AddrPortFrom(b.ip, b.ports.packets), ProbeAddr: netip.AddrPortFrom(b.ip, b.ports.probe),
@@ -90,6 +86,28 @@
 	return nil
 }
 
+// holds reports whether the process holds the socket with an inode.
+func (b *balancer) holds(inode string) bool {
+	b.mu.Lock()
+	cmd := b.cmd
+	b.mu.Unlock()
+	if cmd == nil || inode == "" {
+		return false
+	}
+	dir := fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		// The process has exited.
+		return false
+	}
+	for _, e := range entries {
+		if link, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && link == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
 // signal sends a signal to the process, if it has been started.
 func (b *balancer) signal(s syscall.Signal) {
 	b.mu.Lock()
--- a/io/emul/soak/process_test.go
+++ b/io/emul/soak/process_test.go
@@ -19,14 +19,9 @@
 // away.
 func newLoneBalancer(t *testing.T) *balancer {
 	t.Helper()
-	store, err := newProxy("127.0.0.1:1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(store.close)
 	ip := netip.AddrFrom4([4]byte{127, loopbackSubnet(9), 9, 1})
-	b := &balancer{name: "b1", dataCentre: "z1", ip: ip, ports: ports{19800, 19801, 19802}, store: store, program: program}
-	if err := b.writeSettings(t.TempDir(), ip); err != nil {
+	b := &balancer{name: "b1", dataCentre: "z1", ip: ip, ports: ports{19800, 19801, 19802}, store: newProxy("127.0.0.1:1"), program: program}
+	if err := b.writeSettings(t.TempDir(), ip, netip.MustParseAddrPort("127.0.0.1:1")); err != nil {
 		t.Fatal(err)
 	}
 	return b
--- a/io/emul/soak/proxy.go
+++ b/io/emul/soak/proxy.go
@@ -5,8 +5,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 // Link is the state of the link that a proxy emulates.
@@ -34,10 +32,9 @@
 // slowDelay is 60 times the store's usual response time of 4 ms.
 const slowDelay = 240 * time.Millisecond
 
-// proxy forwards TCP connections to a server on loopback and emulates link
-// faults.
+// proxy forwards TCP connections of one balancer to a server on loopback and
+// emulates link faults.
 type proxy struct {
-	lis    net.Listener
 	target string
 
 	mu    sync.Mutex
@@ -45,18 +42,10 @@
 	conns map[net.Conn]struct{}
 }
 
-func newProxy(target string) (*proxy, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.Wrap(err, "proxy")
-	}
-	p := &proxy{lis: lis, target: target, conns: make(map[net.Conn]struct{})}
-	go p.run()
-	return p, nil
+func newProxy(target string) *proxy {
+	return &proxy{target: target, conns: make(map[net.Conn]struct{})}
 }
 
-func (p *proxy) addr() string { return p.lis.Addr().String() }
-
 func (p *proxy) state() Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -77,26 +66,13 @@
 	}
 }
 
-func (p *proxy) close() {
-	p.set(LinkReset)
-	_ = p.lis.Close()
-}
-
-func (p *proxy) run() {
-	for {
-		c, err := p.lis.Accept()
-		if err != nil {
-			return
-		}
-		if p.state() == LinkReset {
-			_ = c.Close()
-			continue
-		}
-		go p.serve(c)
-	}
-}
+func (p *proxy) close() { p.set(LinkReset) }
 
 func (p *proxy) serve(c net.Conn) {
+	if p.state() == LinkReset {
+		_ = c.Close()
+		return
+	}
 	s, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = c.Close()
--- a/io/emul/soak/run.go
+++ b/io/emul/soak/run.go
@@ -142,7 +142,7 @@
 				tb.checkFlowEnd(f, err)
 				break
 			}
-			loop.Sleep(ctx, time.Duration(rnd.IntN(300))*time.Millisecond)
+			loop.Sleep(ctx, pause(rnd))
 			if u := tb.byID(f.Instance); u == nil || tb.isDraining(u) {
 				// A draining instance closes its flows after the next answer.
 				break
@@ -152,6 +152,16 @@
 	}
 }
 
+// pause draws the time between two requests of a flow. Now and then it is long
+// enough for the late answer of another instance to arrive, or for a restart of the
+// flow's balancer, but below idleTimeout.
+func pause(rnd *rand.Rand) time.Duration {
+	if rnd.IntN(4) == 0 {
+		return time.Duration(rnd.IntN(7000)) * time.Millisecond
+	}
+	return time.Duration(rnd.IntN(300)) * time.Millisecond
+}
+
 func (tb *testbed) isDraining(u *instance) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
--- a/io/emul/soak/soak_test.go
+++ b/io/emul/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -54,6 +55,40 @@
 	}
 }
 
+// Guards against a soak whose balancers are strangers to each other: then no fault
+// meets what they pass on.
+func TestBalancersAreMembers(t *testing.T) {
+	o := Options{Seed: 4, Processes: 4, Clients: 1, Program: program, Dir: t.TempDir()}
+	tb, err := newTestbed(o)
+	if tb != nil {
+		defer tb.close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"b1", "b2", "b3", "b4"}
+	for _, b := range tb.balancers {
+		for _, name := range want {
+			awaitLine(t, b.log.Name(), "event=member_joined detail="+name)
+		}
+	}
+}
+
+// awaitLine waits until a log contains a line with a text.
+func awaitLine(t *testing.T, path, text string) {
+	t.Helper()
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		log, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(log), text) {
+			return
+		}
+	}
+	t.Errorf("%s has no line with %q", filepath.Base(path), text)
+}
+
 // Guards against requests that fail during planned operations: restarts and
 // reloads of balancers, replacement of instances, and changes of the
 // configuration.
--- a/io/emul/soak/testbed.go
+++ b/io/emul/soak/testbed.go
@@ -60,6 +60,7 @@
 	rnd       *rand.Rand
 	store     *objs.Store
 	server    *http.Server
+	hub       *hub
 	balancers []*balancer
 	// subnet is the second byte of all addresses of the run, after 127.
 	subnet byte
@@ -96,6 +97,9 @@
 	}
 	tb.server = &http.Server{Handler: tb.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = tb.server.Serve(lis) }()
+	if tb.hub, err = newHub(tb.holder); err != nil {
+		return nil, err
+	}
 	tb.configure(false)
 	tb.putOddEntry()
 	for i := range instancesPerService * len(services) {
@@ -115,37 +119,55 @@
 // runs are unlikely to use.
 func loopbackSubnet(seed uint64) byte { return byte(10 + (seed+uint64(os.Getpid()))%200) }
 
+// lossShare is the share of the packets from instances to clients that is lost.
+const lossShare = 0.01
+
 // instancesPerService is the number over both data centres.
 const instancesPerService = 4
 
 func dataCentre(i int) string { return fmt.Sprintf("z%d", 1+i%2) }
 
 func (tb *testbed) addBalancer(i int, store string) error {
-	p, err := newProxy(store)
+	address, err := netip.ParseAddrPort(tb.hub.addr())
 	if err != nil {
-		return err
+		return errors.Wrap(err, "parse the address of the store")
 	}
 	b := &balancer{
 		name: fmt.Sprintf("b%d", i+1), dataCentre: dataCentre(i), ip: tb.addr(1, byte(i+1)),
-		ports: tb.ports, store: p, program: tb.opts.Program, missedProbes: 2,
+		ports: tb.ports, store: newProxy(store), program: tb.opts.Program, missedProbes: 2,
 	}
 	if b.log, err = os.Create(filepath.Join(tb.opts.Dir, b.name+".log")); err != nil {
 		return errors.Wrap(err, "create the log file")
 	}
-	if err := b.writeSettings(tb.opts.Dir, tb.addr(1, 1)); err != nil {
+	if err := b.writeSettings(tb.opts.Dir, tb.addr(1, 1), address); err != nil {
 		return errors.Wrap(err, "write the settings file")
 	}
+	tb.mu.Lock()
 	tb.balancers = append(tb.balancers, b)
+	tb.mu.Unlock()
 	return b.start()
 }
 
+// holder returns the balancer whose process holds a socket, or nil.
+func (tb *testbed) holder(inode string) *balancer {
+	tb.mu.Lock()
+	all := tb.balancers
+	tb.mu.Unlock()
+	for _, b := range all {
+		if b.holds(inode) {
+			return b
+		}
+	}
+	return nil
+}
+
 // addInstance starts an instance and registers it.
 func (tb *testbed) addInstance(service, dc string) error {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.nextID++
 	u := &instance{dataCentre: dc, startMillis: uint64(time.Now().UnixMilli()), Upstream: &opaq.Upstream{
-		ID: tb.nextID, Service: service, Port: tb.ports.packets,
+		ID: tb.nextID, Service: service, Port: tb.ports.packets, LossShare: lossShare,
 	}}
 	if err := u.Start(netip.AddrPortFrom(tb.addr(3, byte(tb.nextID%250+1)), 0)); err != nil {
 		return err
@@ -305,6 +327,7 @@
 	for _, u := range tb.instances {
 		_ = u.Stop()
 	}
+	tb.hub.close()
 	_ = tb.server.Close()
 }
 
