Don't take openings that waited while the process did not run for fresh ones

Cause: a process that ran again placed the openings that had waited in its socket, however old. Their clients had opened the flows by later copies through other balancers. The late answer gave the client another instance's token. Nothing told the engine how long a packet had waited; only membership noticed that the process had not run. Hedges had the same fault: an opening sent before the stop went to a second instance after it, and the first was blamed.

Ruled out: that late membership or lists of instances lead the flow away; the records show the reset directly after a late copy was answered. Receive timestamps of the kernel were left aside, since they are of the time of day, which may jump.

Change: io/stall measures how long the process did not run, also when its host was suspended, and packets carry how long they may have waited for it. An opening that may be older than its client's patience (1.4 s) is dropped. One that waited for less is placed, but its flow counts as open there only once the other balancers were asked; that costs its client one repetition (200 ms). The same holds for openings that were sent before the stop. Openings are hedged only until the client repeats them.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -177,7 +177,7 @@
 	if !ok {
 		t = table.Track{Opened: now, Reported: true}
 	}
-	ask := now.Sub(t.Sent) >= interval && now.Sub(t.Asked) >= interval
+	ask := (t.Waited || now.Sub(t.Sent) >= interval) && now.Sub(t.Asked) >= interval
 	if ask {
 		t.Asked = now
 	}
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -19,6 +19,9 @@
 	// round trip to the client and one to the instance, at most 15 ms between
 	// data centres of one region; the client retransmits after 200 ms.
 	hedgeDelay = 40 * time.Millisecond
+	// openTimeout is the time after which a client gives up an opening. It has then
+	// opened its flow by a copy, or uses another port.
+	openTimeout = 1400 * time.Millisecond
 	// duplicateOpeningWindow is how long after its first opening a flow treats
 	// further openings as duplicates. A client gives up after 1.4 s and uses
 	// another port for its next attempt.
@@ -67,10 +70,12 @@
 const trackSweepInterval = time.Second
 
 // hedgeOpenings sends each opening that was not answered within hedgeDelay to a
-// second instance.
+// second instance. Later than FirstResend, after the process did not run, the
+// client has repeated the opening, and its instances are not to blame.
 func (e *Engine) hedgeOpenings(w *WorkerState, now time.Time) {
 	late := e.Tables.Tracks.Waiting(&w.locks, func(_ packet.FlowID, t table.Track) bool {
-		return t.State == table.TrackOpening && now.Sub(t.Sent) >= hedgeDelay && len(t.Tried()) == 1
+		age := now.Sub(t.Sent)
+		return t.State == table.TrackOpening && age >= hedgeDelay && age < table.FirstResend && len(t.Tried()) == 1
 	})
 	for _, f := range late {
 		t, ok := e.Tables.Tracks.Get(&w.locks, f)
@@ -118,6 +123,10 @@
 
 func (e *Engine) flowOpen(w *WorkerState, now time.Time, s *packet.Segment) {
 	d := e.Tables.Direct()
+	if s.Waited >= openTimeout {
+		e.reportDecision(w, now, d, s, "packet_dropped", "opening_expired", query.Choice{})
+		return
+	}
 	if d.Routing.Position.IsZero() {
 		e.reportDecision(w, now, d, s, "packet_dropped", "no_routes", query.Choice{})
 		return
@@ -139,6 +148,7 @@
 			e.recordUnansweredOpening(w, now, d, t.Instance)
 		}
 		t.Retransmit = s.Retransmit
+		t.Waited = t.Waited || s.Waited >= table.FirstResend
 		e.placeOpening(w, now, d, route, s, t, "flow_retried")
 	case tracked && (t.State == table.TrackOpening || s.Retransmit > 0 || now.Sub(t.Opened) < duplicateOpeningWindow):
 		// A duplicate, or a retransmission that the flow's instance has already
@@ -150,7 +160,7 @@
 		if tracked {
 			cmds.ForgetTrack(&w.locks, &e.Tables, s.Flow)
 		}
-		e.placeOpening(w, now, d, route, s, table.Track{Opened: now, Retransmit: s.Retransmit, Start: s.Seq, StartKnown: true}, "flow_placed")
+		e.placeOpening(w, now, d, route, s, table.Track{Opened: now, Retransmit: s.Retransmit, Start: s.Seq, StartKnown: true, Waited: s.Waited >= table.FirstResend}, "flow_placed")
 	}
 }
 
@@ -188,7 +198,11 @@
 
 func (e *Engine) flowContinue(w *WorkerState, now time.Time, s *packet.Segment) {
 	d := e.Tables.Direct()
+	e.noteStall(now, s)
 	t, tracked := e.Tables.Tracks.Get(&w.locks, s.Flow)
+	if at := e.resumedAt.Load(); at != nil && t.Opened.Before(*at) {
+		t.Waited = true
+	}
 	switch target := query.Resolve(now, d, s, t, tracked).(type) {
 	case query.TargetBackend:
 		e.forwardSegment(w, now, d, s, t, tracked, target.Backend)
@@ -203,6 +217,14 @@
 	}
 }
 
+// noteStall records that the process runs again if a packet has waited while it did
+// not.
+func (e *Engine) noteStall(now time.Time, s *packet.Segment) {
+	if s.Waited >= table.FirstResend {
+		e.resumedAt.Store(&now)
+	}
+}
+
 // forwardSegment sends a segment of an open flow to its instance.
 func (e *Engine) forwardSegment(w *WorkerState, now time.Time, d *table.DirectView, s *packet.Segment, t table.Track, tracked bool, b *table.Backend) {
 	route, _ := d.Routing.Route(s.Flow.Address)
--- a/core/engine/direct_test.go
+++ b/core/engine/direct_test.go
@@ -104,6 +104,8 @@
 	seq   uint32
 	// opened is true once the client has sent data.
 	opened bool
+	// waited is how long the next packets have waited in the socket.
+	waited time.Duration
 }
 
 func (f *directHarness) flow(address netip.AddrPort) *opaqueFlow {
@@ -117,7 +119,7 @@
 // open sends an opening: the first transmission for 0, else that
 // retransmission.
 func (o *opaqueFlow) open(retransmit uint32) []effect.Effect {
-	s := packet.Segment{Flow: o.id, Kind: packet.SegmentOpen, Retransmit: retransmit, Seq: clientStart, Raw: []byte("syn")}
+	s := packet.Segment{Flow: o.id, Kind: packet.SegmentOpen, Retransmit: retransmit, Seq: clientStart, Waited: o.waited, Raw: []byte("syn")}
 	if o.opened {
 		s.Raw = []byte("late syn")
 	}
@@ -127,7 +129,7 @@
 // sendData sends the next payload, or an acknowledgement when n is 0.
 func (o *opaqueFlow) sendData(n int) []effect.Effect {
 	o.opened = true
-	s := packet.Segment{Flow: o.id, Token: o.token, Seq: o.seq, Ack: 500, PayloadLen: n, Raw: []byte("data")}
+	s := packet.Segment{Flow: o.id, Token: o.token, Seq: o.seq, Ack: 500, PayloadLen: n, Waited: o.waited, Raw: []byte("data")}
 	o.seq += uint32(n)
 	return o.f.handle(&input.FlowContinue{Segment: s})
 }
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -39,6 +39,9 @@
 	tracksSweptAt atomic.Pointer[time.Time]
 	// findingsSentAt is when failure findings were last sent to other balancers.
 	findingsSentAt atomic.Pointer[time.Time]
+	// resumedAt is when a packet was last handled that had waited because the process
+	// did not run; nil before the first.
+	resumedAt atomic.Pointer[time.Time]
 	// flowQueries counts the flows that others were asked about since the last tick.
 	flowQueries atomic.Int32
 	// heldPackets counts the packets that were to be held since the last tick.
--- a/core/packet/segment.go
+++ b/core/packet/segment.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -59,6 +60,9 @@
 	// Request is the identifier of the request that starts in this segment, or
 	// nil. It is used only for the log and valid as long as Raw.
 	Request []byte
+	// Waited is the longest time that the packet may have waited unread because the
+	// balancer's process did not run; 0 if it ran.
+	Waited time.Duration
 	// Raw is the packet as received. It is valid only while its input is handled.
 	Raw []byte
 }
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -65,6 +65,9 @@
 	// KeepUntil is the time until which a reported flow is kept although this
 	// balancer sees no packet of it.
 	KeepUntil time.Time
+	// Waited is true if the process did not run for some time between the client's
+	// opening and now. Its client may have opened the flow through another balancer.
+	Waited bool
 	// Asked is when other balancers were last asked about the flow.
 	Asked time.Time
 	// Held are the client's packets, at most MaxHeld, that wait until the flow's
@@ -88,23 +91,29 @@
 	return false
 }
 
-// firstResend is the time after which a client repeats an opening. Until then no
+// FirstResend is the time after which a client repeats an opening. Until then no
 // other balancer has got one.
-const firstResend = 200 * time.Millisecond
+const FirstResend = 200 * time.Millisecond
+
+// reportTime is the time in which other balancers answer what they know of a flow.
+const reportTime = 50 * time.Millisecond
 
 // Confirms reports whether a packet with the token of an instance's opening shows
 // that the client opens the flow there. The client's first data does, as it is
-// sent on the answer that opens the flow. Any later packet may carry the token of
+// sent on the answer that opens the flow. If the process did not run meanwhile,
+// other balancers are asked first. Any later packet may carry the token of
 // another instance's late answer, unless nothing else can have been offered the
 // flow.
 func (t *Track) Confirms(now time.Time, s *packet.Segment, id uint64) bool {
 	switch {
 	case t.State != TrackOpening || !t.HasTried(id):
 		return false
+	case t.Waited && (t.Asked.IsZero() || now.Sub(t.Asked) < reportTime):
+		return false
 	case s.Seq == t.Start || s.Seq == t.Start+1:
 		return true
 	}
-	return len(t.Tried()) == 1 && t.Retransmit == 0 && now.Sub(t.Opened) < firstResend
+	return len(t.Tried()) == 1 && t.Retransmit == 0 && !t.Waited && now.Sub(t.Opened) < FirstResend
 }
 
 // maxFlowBytes bounds how far a client's sequence number moves while it uses one
@@ -119,7 +128,7 @@
 
 // IsContested reports whether an instance other than that of the flow may have got
 // an opening of it, through this balancer or another one.
-func (t *Track) IsContested() bool { return len(t.Tried()) > 1 || t.Retransmit > 0 }
+func (t *Track) IsContested() bool { return len(t.Tried()) > 1 || t.Retransmit > 0 || t.Waited }
 
 // MaxHeld is the number of packets that a client has in flight at most.
 const MaxHeld = 16
--- a/io/dgram/flows.go
+++ b/io/dgram/flows.go
@@ -7,12 +7,14 @@
 	"egretdock/core/input"
 	"egretdock/core/packet"
 	"egretdock/io/gossip"
+	"egretdock/io/stall"
 	"egretdock/platform"
 )
 
 // FlowSource reads packets of opaque flows from the client-facing socket.
 type FlowSource struct {
 	reader   *reader
+	stalls   *stall.Meter
 	counters *Counters
 	segment  packet.Segment
 	open     input.FlowOpen
@@ -20,9 +22,10 @@
 	end      input.FlowEnd
 }
 
-// NewFlowSource returns a source for one worker.
-func NewFlowSource(s *Socket, counters *Counters) *FlowSource {
-	return &FlowSource{reader: newReader(s, platform.MaxDatagramLen, counters), counters: counters}
+// NewFlowSource returns a source for one worker. stalls measures how long packets
+// may have waited.
+func NewFlowSource(s *Socket, stalls *stall.Meter, counters *Counters) *FlowSource {
+	return &FlowSource{reader: newReader(s, platform.MaxDatagramLen, counters), stalls: stalls, counters: counters}
 }
 
 // Read implements worker.Source.
@@ -32,6 +35,7 @@
 			f.counters.countError(err)
 			return
 		}
+		f.segment.Waited = f.reader.waited(f.stalls)
 		switch f.segment.Kind {
 		case packet.SegmentOpen:
 			f.open.Segment = f.segment
--- a/io/dgram/socket.go
+++ b/io/dgram/socket.go
@@ -5,11 +5,13 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"golang.org/x/net/ipv4"
 
 	"egretdock/core/fault"
 	"egretdock/io/gossip"
+	"egretdock/io/stall"
 )
 
 const (
@@ -33,6 +35,8 @@
 type Socket struct {
 	conn  *net.UDPConn
 	batch *ipv4.PacketConn
+	// boundAt is when the socket began to receive.
+	boundAt time.Time
 }
 
 // Listen binds a socket. Port 0 selects a free port.
@@ -44,7 +48,7 @@
 	// The kernel caps the size; a smaller buffer only drops packets earlier.
 	_ = conn.SetReadBuffer(socketBufferSize)
 	_ = conn.SetWriteBuffer(socketBufferSize)
-	return &Socket{conn: conn, batch: ipv4.NewPacketConn(conn)}, nil
+	return &Socket{conn: conn, batch: ipv4.NewPacketConn(conn), boundAt: time.Now()}, nil
 }
 
 // Addr returns the bound address.
@@ -63,6 +67,9 @@
 	maxSize  int
 	counters *Counters
 	msgs     []ipv4.Message
+	// firstRead is when the first read began, and emptyAt when the socket was last
+	// seen empty. Datagrams read next have arrived after that.
+	firstRead, emptyAt time.Time
 }
 
 func newReader(s *Socket, maxSize int, counters *Counters) *reader {
@@ -75,10 +82,14 @@
 
 // read waits for at least one datagram and passes each that it reads to fn.
 func (r *reader) read(fn func(source netip.AddrPort, b []byte)) error {
+	if r.firstRead.IsZero() {
+		r.firstRead = time.Now()
+	}
 	n, err := r.socket.batch.ReadBatch(r.msgs, 0)
 	if err != nil {
 		return err
 	}
+	readAt := time.Now()
 	for i := range r.msgs[:n] {
 		m := &r.msgs[i]
 		a, ok := m.Addr.(*net.UDPAddr)
@@ -89,9 +100,28 @@
 		ap := a.AddrPort()
 		fn(netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port()), m.Buffers[0][:m.N])
 	}
+	if n < len(r.msgs) {
+		r.emptyAt = readAt
+	}
 	return nil
 }
 
+// maxBacklogTime is the time after a stall within which what has waited is read.
+const maxBacklogTime = time.Second
+
+// waited returns how long a datagram of the current read may have waited in the
+// socket, or in the batch, while the process did not run or did not read yet.
+func (r *reader) waited(m *stall.Meter) time.Duration {
+	if r.emptyAt.IsZero() {
+		return r.firstRead.Sub(r.socket.boundAt) + m.Since(r.firstRead)
+	}
+	from := time.Now().Add(-maxBacklogTime)
+	if r.emptyAt.After(from) {
+		from = r.emptyAt
+	}
+	return m.Since(from)
+}
+
 // writer collects datagrams for one socket.
 type writer struct {
 	socket *Socket
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -34,6 +34,7 @@
 	"egretdock/io/loop"
 	"egretdock/io/peers"
 	"egretdock/io/sigs"
+	"egretdock/io/stall"
 	"egretdock/platform"
 )
 
@@ -80,6 +81,7 @@
 	asyncLog   *logs.AsyncWriter
 	stats      *stats
 	counters   dgram.Counters
+	stalls     stall.Meter
 	servers    []*http.Server
 	// listeners has the listener of each server.
 	listeners []net.Listener
@@ -204,10 +206,11 @@
 	pool := worker.Pool{Engine: &a.engine, Now: time.Now, Seed: a.engine.Self.Incarnation}
 	ready := a.loaded(ctx, maxLoadWait)
 	g.Go(func() error { return a.resumeCollector(ctx, ready, firstPacketsTime) })
-	flows := &delayedSource{Source: dgram.NewFlowSource(a.flowSocket, &a.counters), ready: ready}
+	flows := &delayedSource{Source: dgram.NewFlowSource(a.flowSocket, &a.stalls, &a.counters), ready: ready}
 	sources := []worker.Source{a.queue, flows, a.peerSource()}
 	g.Go(func() error { return pool.Run(ctx, sources, a.sink) })
 	g.Go(func() error { return a.tick(ctx) })
+	g.Go(func() error { return a.stalls.Run(ctx) })
 	g.Go(func() error { return a.feed.Run(ctx) })
 	a.queue.Push(&input.Hosts{Balancers: seeds(a.settings)})
 	g.Go(func() error { return a.watchSettings(ctx) })
