Let no kind of news wait for what another kind waits for

Cause: while the store is away, one kind of objects calls it for both. The instances did so with an ordinary watch, whose answer comes when an instance changes, after 2 s if none does, and the routes waited until that answer, not until the store was back: a lost call (2.5 s), a retry, and a watch (2 s) were more than the 3 s that a change may take.

Ruled out: the way from the reader to the followers; in zones of two, both balancers read for themselves. Dropping the turns doubles the calls of an outage.

Change: a kind that has lost the store calls it with a watch that is answered at once, after 1.5 s at the latest, and holds its turn for that call alone. No kind waits for what another one waits for. Ages of news and answers count the time in which the process did not run, so that a process that slept takes nothing that waited for fresh here either.

TestRoutesWaitForNoInstances failed before ("no input: the routes after the outage"). TestOneKindProbes now checks that one kind calls at a time and that a turn ends with its call; before, it checked the wait that was the fault.

--- a/io/feed/contact.go
+++ b/io/feed/contact.go
@@ -13,8 +13,9 @@
 	// lost holds the kinds of objects whose last call failed while the balancer
 	// reads the store.
 	lost map[string]bool
-	// regained is closed and replaced when lost shrinks; nil while nobody waits.
-	regained chan struct{}
+	// turn holds a value while a kind calls a store that it has lost; nil before the
+	// first such call.
+	turn chan struct{}
 	// answeredAt is when the store last answered.
 	answeredAt time.Time
 }
@@ -26,54 +27,44 @@
 	if c.lost == nil {
 		c.lost = make(map[string]bool)
 	}
-	if c.lost[kind] && !lost && c.regained != nil {
-		close(c.regained)
-		c.regained = nil
-	}
 	c.lost[kind] = lost
 }
 
-// awaitTurn waits while the store does not answer for a kind that precedes the
-// given one, at most for limit, so that one kind of objects probes a store that is
-// away for all.
-func (c *contact) awaitTurn(ctx context.Context, kind string, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	for {
-		regained, ok := c.isTurn(kind)
-		if ok {
-			return
-		}
-		select {
-		case <-regained:
-		case <-ctx.Done():
-			return
-		}
+// takeTurn waits while another kind of objects calls a store that it has lost, at
+// most for limit, so that a store that is away gets one call at a time. It ends with
+// that call, whatever comes of it: what the other kind has to wait for later, such
+// as a change, holds up nobody. The caller calls release after its own call.
+func (c *contact) takeTurn(ctx context.Context, limit time.Duration) (release func()) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	turn := c.turnChannel()
+	select {
+	case turn <- struct{}{}:
+		return func() { <-turn }
+	case <-t.C:
+	case <-ctx.Done():
 	}
+	return func() {}
 }
 
-// isTurn reports whether no kind that precedes the given one is lost, and returns
-// a channel that is closed when a kind is regained.
-func (c *contact) isTurn(kind string) (<-chan struct{}, bool) {
+func (c *contact) turnChannel() chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for other, lost := range c.lost {
-		if lost && other < kind {
-			if c.regained == nil {
-				c.regained = make(chan struct{})
-			}
-			return c.regained, false
-		}
+	if c.turn == nil {
+		c.turn = make(chan struct{}, 1)
 	}
-	return nil, true
+	return c.turn
 }
 
-// setAnswered records that the store answered a call for a kind of objects.
-func (c *contact) setAnswered(kind string) {
+// setAnswered records that the store answered a call for a kind of objects at a
+// time.
+func (c *contact) setAnswered(kind string, at time.Time) {
 	c.setLost(kind, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answeredAt = time.Now()
+	if at.After(c.answeredAt) {
+		c.answeredAt = at
+	}
 }
 
 // isLost reports whether the last call for any kind of objects failed.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -39,6 +39,9 @@
 	LogEvent func(effect.Event)
 	// ObserveCall records the duration and the outcome of a call.
 	ObserveCall func(d time.Duration, ok bool)
+	// Stalled returns how long the process has not run since a time. What arrived
+	// meanwhile is older than it seems by that. nil means that it always runs.
+	Stalled func(since time.Time) time.Duration
 	// Seed initializes the random source of the retry delays.
 	Seed uint64
 	// ChangeDeadline is the time within which a change must be in force; 0 means
@@ -70,9 +73,9 @@
 	name() string
 	// list reads all objects and returns the position to watch from.
 	list(ctx context.Context, l platform.ListOptions) (model.Position, error)
-	// watch reads the changes after a position and returns the next position to
-	// watch from.
-	watch(ctx context.Context, from model.Position) (model.Position, error)
+	// watch reads the changes after a position, for which it waits, and returns the
+	// next position to watch from.
+	watch(ctx context.Context, from model.Position, wait time.Duration) (model.Position, error)
 	// knownPosition returns a position from which a watch misses no change, or none.
 	knownPosition() model.Position
 	// setUnavailable is called when the store stops answering and when it answers
@@ -109,12 +112,18 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		next, err := f.call(ctx, s, position, freshness)
+		release := func() {}
+		if failures > 0 {
+			release = f.contact.takeTurn(ctx, f.timing.probeTimeout)
+		}
+		start := time.Now()
+		next, err := f.call(ctx, s, position, freshness, failures > 0)
+		release()
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			f.contact.setAnswered(s.name())
+			f.contact.setAnswered(s.name(), time.Now().Add(-f.stalled(start)))
 			if failures > 0 || !answered {
 				// Another balancer may have told that the store is away before this
 				// one read it.
@@ -146,7 +155,6 @@
 		}
 		f.Store.CloseIdleConnections()
 		loop.Sleep(ctx, limit.Backoff(failures, firstRetryDelay, maxRetryDelay, rnd))
-		f.contact.awaitTurn(ctx, s.name(), f.timing.probeLimit)
 	}
 }
 
@@ -165,20 +173,33 @@
 }
 
 // call makes one call of the store and reports it to ObserveCall.
-func (f *Feed) call(ctx context.Context, s source, position model.Position, freshness platform.Freshness) (model.Position, error) {
+func (f *Feed) call(ctx context.Context, s source, position model.Position, freshness platform.Freshness, lost bool) (model.Position, error) {
 	start := time.Now()
-	next, err := f.listOrWatch(ctx, s, position, freshness)
+	next, err := f.listOrWatch(ctx, s, position, freshness, lost)
 	f.ObserveCall(time.Since(start), err == nil)
 	return next, err
 }
 
 // listOrWatch watches from a position, or lists the objects if there is none. It
-// returns the next position to watch from.
-func (f *Feed) listOrWatch(ctx context.Context, s source, position model.Position, freshness platform.Freshness) (model.Position, error) {
+// returns the next position to watch from. A watch after the store was lost does
+// not wait for a change, since its answer also says that the store is back.
+func (f *Feed) listOrWatch(ctx context.Context, s source, position model.Position, freshness platform.Freshness, lost bool) (model.Position, error) {
 	if position.IsZero() {
 		return s.list(ctx, platform.ListOptions{Freshness: freshness, PageTimeout: pageTimeout})
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.timing.watchTimeout)
+	wait, timeout := f.timing.watchWait, f.timing.watchTimeout
+	if lost {
+		wait, timeout = time.Millisecond, f.timing.probeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return s.watch(ctx, position)
+	return s.watch(ctx, position, wait)
+}
+
+// stalled returns how long the process has not run since a time.
+func (f *Feed) stalled(since time.Time) time.Duration {
+	if f.Stalled == nil {
+		return 0
+	}
+	return f.Stalled(since)
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -54,7 +54,7 @@
 }
 
 // newFixtureWithStore starts a feed on a store that may hold objects.
-func newFixtureWithStore(t *testing.T, store *objs.Store, self bool) *fixture {
+func newFixtureWithStore(t *testing.T, store *objs.Store, self bool, configure ...func(*Feed)) *fixture {
 	t.Helper()
 	fx := &fixture{
 		t: t, store: store, self: self, earlier: []model.Balancer{{Name: "reader"}},
@@ -68,6 +68,9 @@
 		LogEvent:    func(e effect.Event) { fx.events <- e },
 		ObserveCall: func(time.Duration, bool) {},
 	}
+	for _, fn := range configure {
+		fn(f)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -385,27 +388,62 @@
 	waitFor(fx, "the return", func(in *input.StoreAvailability) bool { return !in.Unavailable })
 }
 
-// Guards against a store that is away and that each kind of objects calls again
-// and again: one of them is enough to notice its return.
+// Guards against a store that is away and that all kinds of objects call at the
+// same time, and against a kind that waits for another's call for ever.
 func TestOneKindProbes(t *testing.T) {
 	var c contact
-	c.setLost("instances", true)
-	c.setLost("routes", true)
-	if _, ok := c.isTurn("routes"); ok {
-		t.Error("routes call the store while instances do")
-	}
-	if _, ok := c.isTurn("instances"); !ok {
-		t.Error("nobody calls the store")
+	release := c.takeTurn(t.Context(), time.Hour)
+	second := make(chan func())
+	go func() { second <- c.takeTurn(t.Context(), time.Hour) }()
+	select {
+	case <-second:
+		t.Error("two kinds call the store at the same time")
+	case <-time.After(20 * time.Millisecond):
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.awaitTurn(t.Context(), "routes", time.Hour)
-	}()
-	c.setAnswered("instances")
-	<-done
-	c.setLost("instances", true)
-	c.awaitTurn(t.Context(), "routes", time.Millisecond)
+	release()
+	release = <-second
+	c.takeTurn(t.Context(), time.Millisecond)()
+	release()
+	c.takeTurn(t.Context(), time.Hour)()
+}
+
+// Guards against routes that wait, after an outage of the store, until a watch of
+// the instances has returned, which takes long if no instance changes, or the other
+// way round.
+func TestRoutesWaitForNoInstances(t *testing.T) {
+	fx := newFixtureWithStore(t, &objs.Store{}, true, func(f *Feed) { f.ChangeDeadline = time.Minute })
+	fx.mu.Lock()
+	fx.later = []model.Balancer{{Name: "follower"}}
+	fx.mu.Unlock()
+	fx.putInstance("i-1", "ready")
+	fx.putRouting(1)
+	waitFor(fx, "the routes before the outage", atVersion(1))
+	fx.store.SetFault(objs.FaultBusy)
+	fx.waitEvent("store_lost")
+	fx.waitEvent("store_lost")
+	fx.store.SetFault(objs.FaultNone)
+	fx.putRouting(2)
+	waitFor(fx, "the routes after the outage", atVersion(2))
+	fx.waitEvent("store_regained")
+	fx.waitEvent("store_regained")
+}
+
+// Guards against news and answers of the store that waited while the process did not
+// run and count as fresh.
+func TestNewsAgeDuringStall(t *testing.T) {
+	const stalled = 4 * time.Second
+	stall := func(f *Feed) { f.Stalled = func(time.Time) time.Duration { return stalled } }
+	t.Run("of the store", func(t *testing.T) {
+		fx := newFixtureWithStore(t, &objs.Store{}, true, stall)
+		fx.putRouting(1)
+		waitFor(fx, "old routes", func(in *input.RoutesConfirmed) bool { return in.Age == stalled })
+		waitFor(fx, "an old list", func(in *input.InstancesChanged) bool { return in.Age == stalled })
+	})
+	t.Run("of a balancer", func(t *testing.T) {
+		fx := newFixtureWithStore(t, &objs.Store{}, false, stall)
+		fx.setNews(&query.News{Routing: model.Routing{Position: at(5), Version: 3}, ListPosition: at(9), FullList: true, RoutingAge: time.Second})
+		waitFor(fx, "old routes", func(in *input.RoutesConfirmed) bool { return in.Age == stalled+time.Second })
+	})
 }
 
 // Guards against a balancer that starts while the store doesn't answer and drops
--- a/io/feed/peers.go
+++ b/io/feed/peers.go
@@ -73,7 +73,7 @@
 // ask asks a balancer for its news and passes them on. It returns the state after
 // the call.
 func (f *Feed) ask(ctx context.Context, state follow.State, step follow.Ask) follow.State {
-	news, err := f.waitNews(ctx, step.Source)
+	news, err := f.waitNews(ctx, step.Source, f.Local.InForce(), f.timing.newsTimeout, f.timing.newsWait)
 	now, source := time.Now(), step.Source.Name
 	switch {
 	case ctx.Err() != nil:
@@ -107,10 +107,16 @@
 	return state.WithCurrentNews(now, source)
 }
 
-func (f *Feed) waitNews(ctx context.Context, reader model.Balancer) (query.News, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.timing.newsTimeout)
+// waitNews asks a balancer for what is newer than what is known. News that
+// waited while this process did not run are older than they say.
+func (f *Feed) waitNews(ctx context.Context, b model.Balancer, known query.InForce, timeout, wait time.Duration) (query.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.Peers.WaitNews(ctx, reader.Fetch, f.Local.InForce(), f.timing.newsWait)
+	start := time.Now()
+	n, err := f.Peers.WaitNews(ctx, b.Fetch, known, wait)
+	stalled := f.stalled(start)
+	n.RoutingAge, n.ListAge = n.RoutingAge+stalled, n.ListAge+stalled
+	return n, err
 }
 
 // setReading opens or closes the gate and logs the reason.
--- a/io/feed/sources.go
+++ b/io/feed/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"egretdock/core/effect"
 	"egretdock/core/fault"
@@ -16,17 +17,21 @@
 func (*routeSource) name() string { return "routes" }
 
 func (r *routeSource) list(ctx context.Context, l platform.ListOptions) (model.Position, error) {
-	return r.apply(r.f.Store.ReadRouting(ctx, l))
+	start := time.Now()
+	routing, at, err := r.f.Store.ReadRouting(ctx, l)
+	return r.apply(start, routing, at, err)
 }
 
-func (r *routeSource) watch(ctx context.Context, from model.Position) (model.Position, error) {
-	return r.apply(r.f.Store.WatchRouting(ctx, from, r.f.timing.watchWait))
+func (r *routeSource) watch(ctx context.Context, from model.Position, wait time.Duration) (model.Position, error) {
+	start := time.Now()
+	routing, at, err := r.f.Store.WatchRouting(ctx, from, wait)
+	return r.apply(start, routing, at, err)
 }
 
-// apply passes routes on and returns the position to watch from. Malformed routes
+// apply passes on the routes of a call that began at start, and returns the position to watch from. Malformed routes
 // are logged once and those in force stay: the store has answered, and reading the
 // same revision again would not help.
-func (r *routeSource) apply(routing model.Routing, at model.Position, err error) (model.Position, error) {
+func (r *routeSource) apply(start time.Time, routing model.Routing, at model.Position, err error) (model.Position, error) {
 	if fault.KindOf(err) == fault.KindInvalid {
 		r.f.LogEvent(effect.Event{Name: "routes_refused", Revision: at.Revision, Era: at.Era, Detail: err.Error()})
 		return at, nil
@@ -34,7 +39,7 @@
 	if err != nil {
 		return model.Position{}, err
 	}
-	r.f.Push(&input.RoutesConfirmed{Routing: routing})
+	r.f.Push(&input.RoutesConfirmed{Routing: routing, Age: r.f.stalled(start)})
 	return at, nil
 }
 
@@ -50,22 +55,24 @@
 func (*instanceSource) name() string { return "instances" }
 
 func (i *instanceSource) list(ctx context.Context, l platform.ListOptions) (model.Position, error) {
+	start := time.Now()
 	u, err := i.f.Store.ListInstances(ctx, l)
 	if err != nil {
 		return model.Position{}, err
 	}
 	i.logUnreadable(u)
-	i.f.Push(&input.InstancesListed{Position: u.Position, Entries: u.Changes})
+	i.f.Push(&input.InstancesListed{Position: u.Position, Entries: u.Changes, Age: i.f.stalled(start)})
 	return u.Position, nil
 }
 
-func (i *instanceSource) watch(ctx context.Context, from model.Position) (model.Position, error) {
-	u, err := i.f.Store.WatchInstances(ctx, from, i.f.timing.watchWait)
+func (i *instanceSource) watch(ctx context.Context, from model.Position, wait time.Duration) (model.Position, error) {
+	start := time.Now()
+	u, err := i.f.Store.WatchInstances(ctx, from, wait)
 	if err != nil {
 		return model.Position{}, err
 	}
 	i.logUnreadable(u)
-	i.f.Push(&input.InstancesChanged{Position: u.Position, Changes: u.Changes})
+	i.f.Push(&input.InstancesChanged{Position: u.Position, Changes: u.Changes, Age: i.f.stalled(start)})
 	return u.Position, nil
 }
 
--- a/io/feed/start.go
+++ b/io/feed/start.go
@@ -64,9 +64,7 @@
 // startFromPeer asks one balancer for routes and instances and passes them on. It
 // reports whether the balancer knew both.
 func (f *Feed) startFromPeer(ctx context.Context, b model.Balancer) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerStartTimeout)
-	defer cancel()
-	n, err := f.Peers.WaitNews(ctx, b.Fetch, query.InForce{}, 0)
+	n, err := f.waitNews(ctx, b, query.InForce{}, peerStartTimeout, 0)
 	switch {
 	case err != nil:
 		f.LogEvent(effect.Event{Name: "start_peer_failed", Detail: "peer=" + b.Name + " err=" + err.Error()})
@@ -108,9 +106,7 @@
 // learnRoutesFrom passes on the routes of a balancer if they are later. It reports
 // whether the balancer answered.
 func (f *Feed) learnRoutesFrom(ctx context.Context, b model.Balancer) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerStartTimeout)
-	defer cancel()
-	n, err := f.Peers.WaitNews(ctx, b.Fetch, f.Local.InForce(), 0)
+	n, err := f.waitNews(ctx, b, f.Local.InForce(), peerStartTimeout, 0)
 	if err != nil {
 		f.LogEvent(effect.Event{Name: "news_failed", Detail: "source=" + b.Name + " err=" + err.Error()})
 		return false
--- a/io/feed/timing.go
+++ b/io/feed/timing.go
@@ -31,9 +31,10 @@
 	// changes that follow closely: instances register one by one when a deployment
 	// starts, and there may be several edits a second.
 	batchDelay time.Duration
-	// probeLimit is the longest time for which one kind of objects waits for
-	// another to regain the store.
-	probeLimit time.Duration
+	// probeTimeout is the time after which a call has failed that the store answers
+	// at once, made after it was lost. One kind of objects waits for as long, at most,
+	// while another makes such a call.
+	probeTimeout time.Duration
 	// newsWait is how long a peer waits for news before it confirms the revisions in
 	// force.
 	newsWait time.Duration
@@ -59,7 +60,7 @@
 		firstWatchLimit: deadline * 12 / 30,
 		watchTimeout:    deadline * 25 / 30,
 		batchDelay:      min(deadline*4/30, maxBatchDelay),
-		probeLimit:      deadline,
+		probeTimeout:    deadline * 15 / 30,
 		newsWait:        deadline * 10 / 30,
 		newsTimeout:     deadline * 14 / 30,
 		maxNewsAge:      deadline * 26 / 30,
--- a/io/feed/timing_test.go
+++ b/io/feed/timing_test.go
@@ -30,6 +30,7 @@
 		below("delay of entries that return", tm.batchDelay, (roster.OpenFlowGrace-roster.NewFlowGrace)/3)
 		below("two rounds of questions after a reader has lost the store", tm.watchTimeout+2*tm.follow.Retry, effective)
 		below("first watch after a list that may be stale", tm.firstWatchLimit, effective/2)
+		below("watch after an outage, and a probe that was lost", tm.probeTimeout+firstRetryDelay, effective*2/3)
 		below("wait of a watch", tm.watchWait, tm.watchTimeout)
 		below("timeout of a request for news", tm.newsTimeout, effective/2)
 		below("wait for news", tm.newsWait, tm.newsTimeout)
@@ -54,7 +55,7 @@
 // forever, because its pages together take longer than one call may.
 func TestOnlyPagesHaveTimeouts(t *testing.T) {
 	f, s := &Feed{timing: newTiming(0)}, &recordingSource{}
-	if _, err := f.listOrWatch(t.Context(), s, model.Position{}, platform.AllowStale); err != nil {
+	if _, err := f.listOrWatch(t.Context(), s, model.Position{}, platform.AllowStale, false); err != nil {
 		t.Fatal(err)
 	}
 	if s.hasDeadline || s.options.PageTimeout <= 0 {
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -126,7 +126,7 @@
 	ctx, a.closeQueue = context.WithCancel(context.Background())
 	a.queue = worker.NewQueue(ctx, queueLength)
 	a.feed = feed.Feed{
-		Store: platform.NewStoreClient(s.StoreAddr), Peers: peers.NewClient(fleetKey(s), time.Now), Local: a, Push: a.queue.Push, LogEvent: a.logEvent, ObserveCall: a.stats.observeStoreCall,
+		Store: platform.NewStoreClient(s.StoreAddr), Peers: peers.NewClient(fleetKey(s), time.Now), Local: a, Push: a.queue.Push, Stalled: a.stalls.Since, LogEvent: a.logEvent, ObserveCall: a.stats.observeStoreCall,
 		Seed: a.engine.Self.Incarnation, ChangeDeadline: s.ChangeDeadline,
 	}
 	if a.flowSocket, err = dgram.Listen(s.PacketAddr); err != nil {
