--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -53,8 +53,9 @@
 	return newFixtureWithStore(t, &objs.Store{Unanswered: make(chan struct{}, 100)}, self)
 }
 
-// newFixtureWithStore starts a feed on a store that may hold objects.
-func newFixtureWithStore(t *testing.T, store *objs.Store, self bool, configure ...func(*Feed)) *fixture {
+// newFixtureWithStore starts a feed on a store that may hold objects. The prepare
+// functions set the fixture and the feed up before the feed runs.
+func newFixtureWithStore(t *testing.T, store *objs.Store, self bool, prepare ...func(*fixture, *Feed)) *fixture {
 	t.Helper()
 	fx := &fixture{
 		t: t, store: store, self: self, earlier: []model.Balancer{{Name: "reader"}},
@@ -68,8 +69,8 @@
 		LogEvent:    func(e effect.Event) { fx.events <- e },
 		ObserveCall: func(time.Duration, bool) {},
 	}
-	for _, fn := range configure {
-		fn(f)
+	for _, fn := range prepare {
+		fn(fx, f)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -411,10 +412,10 @@
 // the instances has returned, which takes long if no instance changes, or the other
 // way round.
 func TestRoutesWaitForNoInstances(t *testing.T) {
-	fx := newFixtureWithStore(t, &objs.Store{}, true, func(f *Feed) { f.ChangeDeadline = time.Minute })
-	fx.mu.Lock()
-	fx.later = []model.Balancer{{Name: "follower"}}
-	fx.mu.Unlock()
+	fx := newFixtureWithStore(t, &objs.Store{}, true, func(fx *fixture, f *Feed) {
+		f.ChangeDeadline = time.Minute
+		fx.later = []model.Balancer{{Name: "follower"}}
+	})
 	fx.putInstance("i-1", "ready")
 	fx.putRouting(1)
 	waitFor(fx, "the routes before the outage", atVersion(1))
@@ -432,7 +433,7 @@
 // run and count as fresh.
 func TestNewsAgeDuringStall(t *testing.T) {
 	const stalled = 4 * time.Second
-	stall := func(f *Feed) { f.Stalled = func(time.Time) time.Duration { return stalled } }
+	stall := func(_ *fixture, f *Feed) { f.Stalled = func(time.Time) time.Duration { return stalled } }
 	t.Run("of the store", func(t *testing.T) {
 		fx := newFixtureWithStore(t, &objs.Store{}, true, stall)
 		fx.putRouting(1)
--- a/io/feed/restore_test.go
+++ b/io/feed/restore_test.go
@@ -66,11 +66,14 @@
 // Guards against a balancer that follows a peer which has not seen yet that the
 // store was restored.
 func TestNewsOfFormerEra(t *testing.T) {
-	fx := newFixture(t, false)
-	fx.store.Restore(fx.store.Copy())
-	fx.putInstance("i-1", "ready")
-	fx.setInForce(query.InForce{Version: 3, Routing: at(5), List: model.Position{Era: 2, Revision: 1}})
-	fx.setNews(&query.News{Routing: model.Routing{Position: at(6), Version: 4}, ListPosition: at(90), FullList: true})
+	store := &objs.Store{}
+	store.Restore(store.Copy())
+	fx := newFixtureWithStore(t, store, false, func(fx *fixture, _ *Feed) {
+		// A feed that asks before its peer has news reads the store first.
+		fx.putInstance("i-1", "ready")
+		fx.setInForce(query.InForce{Version: 3, Routing: at(5), List: model.Position{Era: 2, Revision: 1}})
+		fx.setNews(&query.News{Routing: model.Routing{Position: at(6), Version: 4}, ListPosition: at(90), FullList: true})
+	})
 	waitFor(fx, "the later routes of the peer", atVersion(4))
 	waitFor(fx, "the changes in the store", func(in input.Input) bool {
 		if l, ok := in.(*input.InstancesListed); ok {
