Count the time that a packet waited against its timeout in serve

Openings and requests of the product's own protocol carry the time that their client still waits. A balancer counted it from when it read the packet, so one that had been stopped for some seconds admitted work that its client had given up and, if it was safe to repeat, had run elsewhere. Packets now lose the time that they may have waited, and expired ones are dropped. They are not refused: that says that no copy will run, which another balancer may decide otherwise.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -69,11 +69,16 @@
 func (e *Engine) Handle(w *WorkerState, now time.Time, in input.Input) {
 	switch in := in.(type) {
 	case *input.FromClient:
-		e.fromClient(w, now, &in.Packet)
+		if p, ok := e.notExpired(w, in.Packet, in.Waited); ok {
+			e.fromClient(w, now, &p)
+		}
 	case *input.FromUpstream:
 		e.fromUpstream(w, now, in)
 	case *input.FromPeer:
-		e.fromPeer(w, now, in.Relay)
+		r, ok := in.Relay, true
+		if r.Packet, ok = e.notExpired(w, r.Packet, in.Waited); ok {
+			e.fromPeer(w, now, r)
+		}
 	case *input.Gossip:
 		e.receiveGossip(w, now, in.Message)
 	case *input.ConfigReceived:
@@ -108,6 +113,20 @@
 	}
 }
 
+// notExpired takes the time that a packet has waited from the time that its sender
+// gives it. It reports false for a packet that has expired. Such a packet is dropped
+// and not refused, since a copy of it may run at another balancer.
+func (*Engine) notExpired(w *WorkerState, p packet.Packet, waited time.Duration) (packet.Packet, bool) {
+	if waited == 0 {
+		return p, true
+	}
+	next, ok := p.WithWait(waited)
+	if !ok {
+		w.Out.Add(&effect.Event{Name: "packet_dropped", Flow: p.Flow, Detail: "expired waited=" + waited.String()})
+	}
+	return next, ok
+}
+
 func (e *Engine) configure(w *WorkerState, cfg model.Config) {
 	if !cmds.Configure(&w.locks, &e.Tables, cfg) {
 		return
--- a/core/engine/stall_test.go
+++ b/core/engine/stall_test.go
@@ -6,6 +6,7 @@
 
 	"egretdock/core/effect"
 	"egretdock/core/input"
+	"egretdock/core/packet"
 	"egretdock/core/table"
 )
 
@@ -112,3 +113,43 @@
 		t.Errorf("the packet goes to instances %v, the flow is open at %d", z.delivered, other)
 	}
 }
+
+// Guards against a process that did not run for a time and then runs work that its
+// client has given up, as the packet's timeout counts from when it was read.
+func TestPacketExpiresDuringStall(t *testing.T) {
+	const timeout = time.Second
+	for name, body := range map[string]packet.Body{"opening": &packet.Open{Timeout: timeout}, "request": &packet.Request{ID: 1, Timeout: timeout}} {
+		t.Run(name, func(t *testing.T) {
+			p := packet.Packet{Body: body}
+			wantLeft(t, p, 400*time.Millisecond, 600*time.Millisecond)
+			wantLeft(t, p, 0, timeout)
+			f := newDirectHarness(t)
+			for _, in := range []input.Input{
+				&input.FromClient{Packet: p, Waited: timeout},
+				&input.FromPeer{Relay: input.Relay{Packet: p}, Waited: timeout},
+			} {
+				es := f.handle(in)
+				if len(es) != 1 || !hasEvent(es, "packet_dropped") {
+					t.Errorf("an expired packet has the effects %v, want only that it is dropped", es)
+				}
+			}
+		})
+	}
+}
+
+// wantLeft checks how much of its timeout a packet has left after a wait.
+func wantLeft(t *testing.T, p packet.Packet, waited, want time.Duration) {
+	t.Helper()
+	next, ok := p.WithWait(waited)
+	var left time.Duration
+	switch b := next.Body.(type) {
+	case *packet.Open:
+		left = b.Timeout
+	case *packet.Request:
+		left = b.Timeout
+	default:
+	}
+	if !ok || left != want {
+		t.Errorf("%s are left after %s (%t), want %s", left, waited, ok, want)
+	}
+}
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -19,6 +19,9 @@
 // FromClient is a packet that a client sent. Header.Client is its source.
 type FromClient struct {
 	Packet packet.Packet
+	// Waited is the longest time that the packet may have waited unread because the
+	// balancer's process did not run; 0 if it ran.
+	Waited time.Duration
 }
 
 // FromUpstream is a packet that arrived on the upstream-facing socket.
@@ -31,6 +34,8 @@
 // FromPeer is a packet that another balancer relayed.
 type FromPeer struct {
 	Relay Relay
+	// Waited is as in FromClient.
+	Waited time.Duration
 }
 
 // Relay is a packet on its way to the owner of an upstream.
--- a/core/packet/header.go
+++ b/core/packet/header.go
@@ -2,7 +2,10 @@
 // from their encoding.
 package packet
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Route names one incarnation of one upstream. The zero value means no route.
 type Route struct {
@@ -39,3 +42,28 @@
 	// Body is never nil in a valid packet.
 	Body Body
 }
+
+// WithWait returns a copy after the packet has waited for d. It reports false if
+// its sender has given it up meanwhile.
+func (p Packet) WithWait(d time.Duration) (Packet, bool) {
+	switch b := p.Body.(type) {
+	case *Open:
+		if b.Timeout == 0 {
+			return p, true
+		}
+		next := *b
+		next.Timeout -= d
+		p.Body = &next
+		return p, next.Timeout > 0
+	case *Request:
+		if b.Timeout == 0 {
+			return p, true
+		}
+		next := *b
+		next.Timeout -= d
+		p.Body = &next
+		return p, next.Timeout > 0
+	case *Accept, *Answer, *Refuse, *Cancel, *Data, *Ack, *Close, *Reset:
+	}
+	return p, true
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"egretdock/core/worker"
 	"egretdock/io/dgram"
 	"egretdock/io/gossip"
+	"egretdock/io/stall"
 	"egretdock/io/wire"
 )
 
@@ -68,6 +69,8 @@
 
 	// Counters count the datagrams that the sockets drop and the gossip traffic.
 	Counters dgram.Counters
+	// stalls measures how long packets may have waited unread.
+	stalls stall.Meter
 }
 
 // New binds the sockets of a balancer.
@@ -124,6 +127,7 @@
 	pool := worker.Pool{Engine: &d.engine, Now: time.Now, Seed: d.cfg.Seed}
 	g.Go(func() error { return pool.Run(ctx, d.sources(), d.sink) })
 	g.Go(func() error { return d.queueInputs(ctx, inputs) })
+	g.Go(func() error { return d.stalls.Run(ctx) })
 	g.Go(func() error { return d.poller.run(ctx, d.queue.Push) })
 	g.Go(func() error {
 		<-ctx.Done()
@@ -142,10 +146,10 @@
 }
 
 func (d *Daemon) sources() []worker.Source {
-	out := []worker.Source{d.queue, dgram.NewPeerSource(d.sockets.Peers, d.newSealer(), d.opener, dgram.PeerOptions{Now: time.Now, Accept: d.cfg.AcceptPeer}, &d.Counters)}
+	out := []worker.Source{d.queue, dgram.NewPeerSource(d.sockets.Peers, d.newSealer(), d.opener, dgram.PeerOptions{Now: time.Now, Accept: d.cfg.AcceptPeer, Stalls: &d.stalls}, &d.Counters)}
 	for range max(1, d.cfg.Workers) {
 		out = append(out,
-			dgram.NewClientSource(d.sockets.Clients, d.newSealer(), &d.Counters),
+			dgram.NewClientSource(d.sockets.Clients, d.newSealer(), &d.stalls, &d.Counters),
 			dgram.NewUpstreamSource(d.sockets.Upstreams, &d.Counters))
 	}
 	return out
--- a/io/dgram/dgram_test.go
+++ b/io/dgram/dgram_test.go
@@ -61,7 +61,7 @@
 	b := &balancer{Sockets: Sockets{Clients: listen(), Upstreams: listen(), Peers: listen()}}
 	t.Cleanup(b.Close)
 	b.sink = NewSink(b.Sockets, Sealers{Wire: w, Gossip: g}, &b.counters, func(e effect.Effect) { b.performed = append(b.performed, e) })
-	b.fromClients = NewClientSource(b.Clients, w, &b.counters)
+	b.fromClients = NewClientSource(b.Clients, w, nil, &b.counters)
 	b.fromUpstreams = NewUpstreamSource(b.Upstreams, &b.counters)
 	b.fromPeers = NewPeerSource(b.Peers, w, o, PeerOptions{Now: time.Now}, &b.counters)
 	return b
--- a/io/dgram/socket.go
+++ b/io/dgram/socket.go
@@ -112,6 +112,9 @@
 // waited returns how long a datagram of the current read may have waited in the
 // socket, or in the batch, while the process did not run or did not read yet.
 func (r *reader) waited(m *stall.Meter) time.Duration {
+	if m == nil {
+		return 0
+	}
 	if r.emptyAt.IsZero() {
 		return r.firstRead.Sub(r.socket.boundAt) + m.Since(r.firstRead)
 	}
--- a/io/dgram/source.go
+++ b/io/dgram/source.go
@@ -8,6 +8,7 @@
 	"egretdock/core/fault"
 	"egretdock/core/input"
 	"egretdock/io/gossip"
+	"egretdock/io/stall"
 	"egretdock/io/wire"
 )
 
@@ -46,13 +47,15 @@
 	reader   *reader
 	decoder  wire.Decoder
 	sealer   *wire.Sealer
+	stalls   *stall.Meter
 	counters *Counters
 	in       input.FromClient
 }
 
-// NewClientSource returns a source for one worker.
-func NewClientSource(s *Socket, sealer *wire.Sealer, counters *Counters) *ClientSource {
-	return &ClientSource{reader: newReader(s, MaxDatagramSize, counters), sealer: sealer, counters: counters}
+// NewClientSource returns a source for one worker. stalls measures how long packets
+// may have waited; nil measures nothing.
+func NewClientSource(s *Socket, sealer *wire.Sealer, stalls *stall.Meter, counters *Counters) *ClientSource {
+	return &ClientSource{reader: newReader(s, MaxDatagramSize, counters), sealer: sealer, stalls: stalls, counters: counters}
 }
 
 // Read implements worker.Source.
@@ -62,6 +65,7 @@
 			c.counters.countError(err)
 			return
 		}
+		c.in.Waited = c.reader.waited(c.stalls)
 		fn(&c.in)
 	})
 }
@@ -108,6 +112,8 @@
 	// Accept reports whether datagrams from a source are accepted; nil accepts
 	// all. Emulators use it to partition data centres from each other.
 	Accept func(source netip.Addr) bool
+	// Stalls measures how long relays may have waited; nil measures nothing.
+	Stalls *stall.Meter
 }
 
 // NewPeerSource returns a source for one worker. The opener may be shared.
@@ -136,6 +142,7 @@
 	}
 	switch b[0] {
 	case peerRelay:
+		p.relay.Waited = p.reader.waited(p.opts.Stalls)
 		return &p.relay, p.decoder.DecodeRelay(b[1:], p.sealer, &p.relay.Relay)
 	case peerGossip:
 		m, err := p.opener.Open(p.opts.Now(), b[1:])
--- a/io/emul/bare/relay.go
+++ b/io/emul/bare/relay.go
@@ -86,7 +86,7 @@
 func (r *Relay) Run(ctx context.Context, inputs <-chan input.Input) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		return r.work(ctx, dgram.NewClientSource(r.sockets.Clients, r.sealers[0], &r.counters), 0)
+		return r.work(ctx, dgram.NewClientSource(r.sockets.Clients, r.sealers[0], nil, &r.counters), 0)
 	})
 	g.Go(func() error { return r.work(ctx, dgram.NewUpstreamSource(r.sockets.Upstreams, &r.counters), 1) })
 	g.Go(func() error {
