Tell a new balancer of flows in their handshake, and don't wait for a repetition

Balancers now tell one that is new of the flows in their handshake, and of those whose opening may be answered late. - 20 flows at the start of all balancers waited more than 200 ms in the sockets, so that their packets were held until the client repeated them. They are now released 50 ms after the question if no other balancer claims the flow.

An opening whose client's packets are held is not hedged: some instance has answered it.

--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -168,13 +168,23 @@
 	})
 }
 
+// UnsettledFlows returns the flows of ContestedFlows and those whose openings this
+// balancer has sent and that are not open yet.
+func UnsettledFlows(h *locks.Holder, now time.Time, s *table.Set, lifetime time.Duration) map[packet.FlowID]table.Track {
+	out := ContestedFlows(h, now, s, lifetime)
+	for f, t := range s.Tracks.Select(h, func(t table.Track) bool { return t.State == table.TrackOpening && !t.Reported }) {
+		out[f] = t
+	}
+	return out
+}
+
 // HoldSegment keeps a packet until the instance of its flow is known, if there is
 // room, or only notes it. It reports whether other balancers should be asked about
 // the flow: not within interval of the last question, nor within interval of the
 // opening, since the client's first data is usually only late.
-func HoldSegment(h *locks.Holder, now time.Time, s *table.Set, seg *packet.Segment, room bool, interval time.Duration) bool {
-	t, ok := s.Tracks.Get(h, seg.Flow)
-	if !ok {
+// The track is that of the flow, or zero.
+func HoldSegment(h *locks.Holder, now time.Time, s *table.Set, seg *packet.Segment, t table.Track, room bool, interval time.Duration) bool {
+	if t.Opened.IsZero() {
 		t = table.Track{Opened: now, Reported: true}
 	}
 	ask := (t.Waited || now.Sub(t.Sent) >= interval) && now.Sub(t.Asked) >= interval
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -57,6 +57,7 @@
 	e.updateRoster(w, func(r roster.Roster) (roster.Roster, bool) { return r.WithExpiry(now) })
 	e.flowQueries.Store(0)
 	e.heldPackets.Store(0)
+	e.releaseUnclaimed(w, now)
 	e.hedgeOpenings(w, now)
 	e.reportOverdueAnswers(w, now)
 	e.sendFindings(w, now)
@@ -71,11 +72,12 @@
 
 // hedgeOpenings sends each opening that was not answered within hedgeDelay to a
 // second instance. Later than FirstResend, after the process did not run, the
-// client has repeated the opening, and its instances are not to blame.
+// client has repeated the opening, and its instances are not to blame. A client
+// whose packets are held has got an answer.
 func (e *Engine) hedgeOpenings(w *WorkerState, now time.Time) {
 	late := e.Tables.Tracks.Waiting(&w.locks, func(_ packet.FlowID, t table.Track) bool {
 		age := now.Sub(t.Sent)
-		return t.State == table.TrackOpening && age >= hedgeDelay && age < table.FirstResend && len(t.Tried()) == 1
+		return t.State == table.TrackOpening && age >= hedgeDelay && age < table.FirstResend && len(t.Tried()) == 1 && len(t.Held) == 0
 	})
 	for _, f := range late {
 		t, ok := e.Tables.Tracks.Get(&w.locks, f)
@@ -210,7 +212,7 @@
 		e.reportDecision(w, now, d, s, "packet_dropped", target.Reason, query.Choice{})
 	case query.TargetUnconfirmed:
 		e.reportDecision(w, now, d, s, "packet_held", "opening_unconfirmed", query.Choice{})
-		e.holdSegment(w, now, s)
+		e.holdSegment(w, now, s, t)
 	case query.TargetLost:
 		e.resetFlow(w, now, d, s, target.Reason)
 		cmds.ForgetTrack(&w.locks, &e.Tables, s.Flow)
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -75,8 +75,9 @@
 	case *input.FromUpstream:
 		e.fromUpstream(w, now, in)
 	case *input.FromPeer:
-		r, ok := in.Relay, true
-		if r.Packet, ok = e.notExpired(w, r.Packet, in.Waited); ok {
+		if p, ok := e.notExpired(w, in.Relay.Packet, in.Waited); ok {
+			r := in.Relay
+			r.Packet = p
 			e.fromPeer(w, now, r)
 		}
 	case *input.Gossip:
@@ -106,6 +107,7 @@
 		e.setStoreAvailability(w, now, in)
 	case *input.Wake:
 		e.hedgeOpenings(w, now)
+		e.releaseUnclaimed(w, now)
 	case *input.Tick:
 		e.tick(w, now)
 	case *input.Leave:
--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -19,6 +19,9 @@
 	// maxFlowQueries is the highest number of flows that a balancer asks about
 	// between two ticks, so that packets with made-up tokens don't load the others.
 	maxFlowQueries = 20
+	// maxReportsToNew is the highest number of flows that a balancer reports to one
+	// that is new.
+	maxReportsToNew = 16
 	// maxHeldPackets is the highest number of packets that are held between two
 	// ticks. With the 2 s after which they are removed, and 1.2 KB each, they take
 	// less than 7 MB.
@@ -42,6 +45,24 @@
 	}
 }
 
+// reportFlowsToNew tells the balancers of the own data centre that are new of the
+// flows in their handshake and of those that reportOpenFlow reports. The routers
+// move some of them there at once, while a new balancer knows none to ask yet.
+func (e *Engine) reportFlowsToNew(w *WorkerState, now time.Time, before member.View) {
+	for _, b := range query.LocalPeers(e.Tables.Members(), e.Self) {
+		if old, ok := before.Get(b.Name); ok && old.Incarnation == b.Incarnation {
+			continue
+		}
+		n := 0
+		for f, t := range cmds.UnsettledFlows(&w.locks, now, &e.Tables, e.Direct.FlowLifetime) {
+			if n++; n > maxReportsToNew {
+				break
+			}
+			e.sendFlowReport(w, b, f, t)
+		}
+	}
+}
+
 func (e *Engine) sendFlowReport(w *WorkerState, to model.Balancer, f packet.FlowID, t table.Track) {
 	m := &member.FlowReport{Header: member.Header{From: e.Self}, Flow: f, Start: t.Start, Instances: t.Tried()}
 	if t.State != table.TrackOpening {
@@ -52,11 +73,14 @@
 
 // holdSegment keeps a packet until the instance of its flow is known. It asks
 // other balancers unless the client's first data is probably on its way.
-func (e *Engine) holdSegment(w *WorkerState, now time.Time, s *packet.Segment) {
+func (e *Engine) holdSegment(w *WorkerState, now time.Time, s *packet.Segment, t table.Track) {
 	room := e.heldPackets.Add(1) <= maxHeldPackets
-	if !cmds.HoldSegment(&w.locks, now, &e.Tables, s, room, flowQueryInterval) || e.flowQueries.Add(1) > maxFlowQueries {
+	if !cmds.HoldSegment(&w.locks, now, &e.Tables, s, t, room, flowQueryInterval) || e.flowQueries.Add(1) > maxFlowQueries {
 		return
 	}
+	if t.Waited {
+		w.Out.Add(&effect.Wake{After: table.ReportTime})
+	}
 	m := &member.FlowQuery{Header: member.Header{From: e.Self}, Flow: s.Flow}
 	for _, b := range query.FlowWitnesses(e.Tables.Members(), e.Self, s.Flow) {
 		w.Out.Add(&effect.Gossip{To: b.Peer, Message: m})
@@ -70,6 +94,17 @@
 	}
 }
 
+// releaseUnclaimed handles the packets again that were held because the process did
+// not run, once no other balancer has claimed their flows.
+func (e *Engine) releaseUnclaimed(w *WorkerState, now time.Time) {
+	unclaimed := e.Tables.Tracks.Waiting(&w.locks, func(_ packet.FlowID, t table.Track) bool {
+		return t.Waited && len(t.Held) > 0 && now.Sub(t.Asked) >= table.ReportTime
+	})
+	for _, f := range unclaimed {
+		e.releaseHeld(w, now, f)
+	}
+}
+
 // receiveFlowQuery answers with what this balancer knows of a flow, if anything.
 func (e *Engine) receiveFlowQuery(w *WorkerState, m *member.FlowQuery) {
 	if t, ok := e.Tables.Tracks.Get(&w.locks, m.Flow); ok && t.StartKnown && !t.IsUnknown() {
--- a/core/engine/handover_test.go
+++ b/core/engine/handover_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// Guards against flows that fail because the routers move them, between the opening
+// and the first data, to a balancer that has just started and knows none to ask.
+func TestFlowMovesToNewBalancer(t *testing.T) {
+	z, b := newZone(t, 2)
+	o := b[0].flow(deskAddress)
+	id := wantDelivered(t, o.open(0))
+	started := newServingHarness(t)
+	self := model.Balancer{Name: "b9", DataCentre: "ain", Incarnation: 1, Peer: netip.MustParseAddrPort("10.1.0.9:7000"), Fetch: netip.MustParseAddrPort("10.1.0.9:7000")}
+	started.engine.Self = self
+	z.balancers[self.Peer] = started
+	o.token, o.f = table.OpeningToken(id), started
+	wantHeld(t, o.sendData(10))
+	z.delivered = nil
+	z.pass(b[0].handle(&input.Gossip{Message: &member.Ping{Header: member.Header{From: self}}}))
+	if len(z.delivered) != 1 || z.delivered[0] != id {
+		t.Errorf("the packet goes to instances %v once the new balancer is known, want %d", z.delivered, id)
+	}
+}
+
 // Guards against uploads whose packets overtake the first one and are then lost,
 // or reach an instance before the flow is open there.
 func TestReorderedFirstPackets(t *testing.T) {
--- a/core/engine/member.go
+++ b/core/engine/member.go
@@ -44,6 +44,7 @@
 	if changed {
 		e.updateOwnership(w)
 		reportMembers(w, before, e.Tables.Members())
+		e.reportFlowsToNew(w, now, before)
 	}
 }
 
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -95,8 +95,8 @@
 // other balancer has got one.
 const FirstResend = 200 * time.Millisecond
 
-// reportTime is the time in which other balancers answer what they know of a flow.
-const reportTime = 50 * time.Millisecond
+// ReportTime is the time in which other balancers answer what they know of a flow.
+const ReportTime = 50 * time.Millisecond
 
 // Confirms reports whether a packet with the token of an instance's opening shows
 // that the client opens the flow there. The client's first data does, as it is
@@ -108,7 +108,7 @@
 	switch {
 	case t.State != TrackOpening || !t.HasTried(id):
 		return false
-	case t.Waited && (t.Asked.IsZero() || now.Sub(t.Asked) < reportTime):
+	case t.Waited && (t.Asked.IsZero() || now.Sub(t.Asked) < ReportTime):
 		return false
 	case s.Seq == t.Start || s.Seq == t.Start+1:
 		return true
--- a/io/emul/opaq/client.go
+++ b/io/emul/opaq/client.go
@@ -158,9 +158,10 @@
 // noteToken takes over the token of a packet when it arrives, also while the flow
 // is idle.
 func (f *Flow) noteToken(p *platform.PacketHeader) {
-	if !p.Reset && !(p.Open && f.ignoresLate && f.opened.Load()) {
-		f.token.Store(p.Token)
+	if p.Reset || p.Open && f.ignoresLate && f.opened.Load() {
+		return
 	}
+	f.token.Store(p.Token)
 }
 
 // Forget removes the flow from the client without notifying the instance.
