Don't refuse an address by routes that were confirmed before a suspension

docs/proof.md listed it as open: the steady clock stands still while a host is suspended, so that routes look as if they had just been confirmed, and an address whose route was added meanwhile was refused. Ticks now tell the engine that the process did not run, and a confirmation of before that is not recent. TestNoRouteAfterStall fails without it. Not seen by a caller.

--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -124,6 +124,7 @@
 }
 
 func (e *Engine) flowOpen(w *WorkerState, now time.Time, s *packet.Segment) {
+	e.noteStall(now, s.Waited)
 	d := e.Tables.Direct()
 	if s.Waited >= openTimeout {
 		e.reportDecision(w, now, d, s, "packet_dropped", "opening_expired", query.Choice{})
@@ -168,9 +169,12 @@
 
 // handleNoRoute handles an opening to an address without a route. It resets the
 // flow only after a recent confirmation of the routes, since otherwise the
-// address may have a route that this balancer has not received.
+// address may have a route that this balancer has not received. A confirmation of
+// before the process did not run is not recent, whatever its age by a clock that
+// stands still while the host is suspended.
 func (e *Engine) handleNoRoute(w *WorkerState, now time.Time, d *table.DirectView, s *packet.Segment) {
-	if now.Sub(d.RoutingConfirmed) > e.Direct.maxRoutesAgeForReset() {
+	resumed := e.resumedAt.Load()
+	if now.Sub(d.RoutingConfirmed) > e.Direct.maxRoutesAgeForReset() || resumed != nil && d.RoutingConfirmed.Before(*resumed) {
 		e.reportDecision(w, now, d, s, "packet_dropped", "no_route_unconfirmed", query.Choice{})
 		return
 	}
@@ -200,7 +204,7 @@
 
 func (e *Engine) flowContinue(w *WorkerState, now time.Time, s *packet.Segment) {
 	d := e.Tables.Direct()
-	e.noteStall(now, s)
+	e.noteStall(now, s.Waited)
 	t, tracked := e.Tables.Tracks.Get(&w.locks, s.Flow)
 	if at := e.resumedAt.Load(); at != nil && t.Opened.Before(*at) {
 		t.Waited = true
@@ -219,10 +223,9 @@
 	}
 }
 
-// noteStall records that the process runs again if a packet has waited while it did
-// not.
-func (e *Engine) noteStall(now time.Time, s *packet.Segment) {
-	if s.Waited >= table.FirstResend {
+// noteStall records that the process runs again if it did not for a time.
+func (e *Engine) noteStall(now time.Time, stalled time.Duration) {
+	if stalled >= table.FirstResend {
 		e.resumedAt.Store(&now)
 	}
 }
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -39,8 +39,8 @@
 	tracksSweptAt atomic.Pointer[time.Time]
 	// findingsSentAt is when failure findings were last sent to other balancers.
 	findingsSentAt atomic.Pointer[time.Time]
-	// resumedAt is when a packet was last handled that had waited because the process
-	// did not run; nil before the first.
+	// resumedAt is when the engine last learnt that the process had not run; nil
+	// before the first time.
 	resumedAt atomic.Pointer[time.Time]
 	// flowQueries counts the flows that others were asked about since the last tick.
 	flowQueries atomic.Int32
@@ -109,6 +109,7 @@
 		e.hedgeOpenings(w, now)
 		e.releaseUnclaimed(w, now)
 	case *input.Tick:
+		e.noteStall(now, in.Stalled)
 		e.tick(w, now)
 	case *input.Leave:
 		e.leave(w, now)
--- a/core/engine/stall_test.go
+++ b/core/engine/stall_test.go
@@ -147,3 +147,18 @@
 		t.Errorf("%s are left after %s (%t), want %s", left, waited, ok, want)
 	}
 }
+
+// Guards against the refusal of an address whose route was added while the host was
+// suspended: by the steady clock, the routes look as if they had just been confirmed.
+func TestNoRouteAfterStall(t *testing.T) {
+	f := newServingHarness(t)
+	wantReset(t, f.flow(newAddress).open(0), "no_route")
+	f.advance(time.Millisecond)
+	f.handle(&input.Tick{Stalled: 5 * time.Second})
+	wantDropped(t, f.flow(newAddress).open(0), "no_route_unconfirmed")
+	t.Run("until the routes are confirmed again", func(t *testing.T) {
+		f.advance(time.Millisecond)
+		f.handle(&input.RoutesConfirmed{})
+		wantReset(t, f.flow(newAddress).open(0), "no_route")
+	})
+}
--- a/core/input/input.go
+++ b/core/input/input.go
@@ -139,7 +139,10 @@
 
 // Tick makes the engine handle timeouts and periodic work. Front ends send it
 // at a fixed interval.
-type Tick struct{}
+type Tick struct {
+	// Stalled is how long the process has not run since the last tick; 0 if it ran.
+	Stalled time.Duration
+}
 
 // Leave asks the balancer to stop gracefully: it hands over ownership and
 // completes the work in progress.
--- a/io/front/app.go
+++ b/io/front/app.go
@@ -238,12 +238,13 @@
 func (a *App) tick(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	for {
+	for last := time.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			a.queue.Push(&input.Tick{})
+			a.queue.Push(&input.Tick{Stalled: a.stalls.Since(last)})
+			last = time.Now()
 			a.stats.logOmitted(a.logEvent)
 		}
 	}
