--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -415,10 +415,11 @@
 	fx := newFixtureWithStore(t, &objs.Store{}, true, func(fx *fixture, f *Feed) {
 		f.ChangeDeadline = time.Minute
 		fx.later = []model.Balancer{{Name: "follower"}}
+		// A change that a feed has yet to see would end its watch at once.
+		fx.putInstance("i-1", "ready")
+		fx.putRouting(1)
 	})
-	fx.putInstance("i-1", "ready")
-	fx.putRouting(1)
-	waitFor(fx, "the routes before the outage", atVersion(1))
+	fx.waitFirstLists()
 	fx.store.SetFault(objs.FaultBusy)
 	fx.waitEvent("store_lost")
 	fx.waitEvent("store_lost")
