--- a/core/cmds/direct.go
+++ b/core/cmds/direct.go
@@ -161,21 +161,24 @@
 // ContestedFlows returns the open flows whose openings another instance than their
 // own may still answer, or has answered last.
 func ContestedFlows(h *locks.Holder, now time.Time, s *table.Set, lifetime time.Duration) map[packet.FlowID]table.Track {
-	idle := idleTimeout(s.Direct(), lifetime)
-	return s.Tracks.Select(h, func(t table.Track) bool {
-		return t.State == table.TrackOpen && t.StartKnown &&
-			(now.Before(t.KeepUntil) || t.IsContested() && now.Sub(t.Opened) < lateAnswerTime+idle)
-	})
+	keep := lateAnswerTime + idleTimeout(s.Direct(), lifetime)
+	return s.Tracks.Select(h, func(t table.Track) bool { return mayBeAnsweredLate(now, &t, keep) })
+}
+
+// mayBeAnsweredLate reports whether an open flow belongs to ContestedFlows. keep is
+// the time for which it does.
+func mayBeAnsweredLate(now time.Time, t *table.Track, keep time.Duration) bool {
+	return t.State == table.TrackOpen && t.StartKnown &&
+		(now.Before(t.KeepUntil) || t.IsContested() && now.Sub(t.Opened) < keep)
 }
 
 // UnsettledFlows returns the flows of ContestedFlows and those whose openings this
 // balancer has sent and that are not open yet.
 func UnsettledFlows(h *locks.Holder, now time.Time, s *table.Set, lifetime time.Duration) map[packet.FlowID]table.Track {
-	out := ContestedFlows(h, now, s, lifetime)
-	for f, t := range s.Tracks.Select(h, func(t table.Track) bool { return t.State == table.TrackOpening && !t.Reported }) {
-		out[f] = t
-	}
-	return out
+	keep := lateAnswerTime + idleTimeout(s.Direct(), lifetime)
+	return s.Tracks.Select(h, func(t table.Track) bool {
+		return t.State == table.TrackOpening && !t.Reported || mayBeAnsweredLate(now, &t, keep)
+	})
 }
 
 // HoldSegment keeps a packet until the instance of its flow is known, if there is
--- a/core/engine/direct.go
+++ b/core/engine/direct.go
@@ -277,7 +277,7 @@
 // token of an open flow.
 func openingToken(b *table.Backend, opening bool) uint32 {
 	if opening {
-		return b.OpeningToken
+		return b.OpeningToken()
 	}
 	return b.Token
 }
--- a/core/engine/handover.go
+++ b/core/engine/handover.go
@@ -49,12 +49,16 @@
 // flows in their handshake and of those that reportOpenFlow reports. The routers
 // move some of them there at once, while a new balancer knows none to ask yet.
 func (e *Engine) reportFlowsToNew(w *WorkerState, now time.Time, before member.View) {
+	var flows map[packet.FlowID]table.Track
 	for _, b := range query.LocalPeers(e.Tables.Members(), e.Self) {
 		if old, ok := before.Get(b.Name); ok && old.Incarnation == b.Incarnation {
 			continue
 		}
+		if flows == nil {
+			flows = cmds.UnsettledFlows(&w.locks, now, &e.Tables, e.Direct.FlowLifetime)
+		}
 		n := 0
-		for f, t := range cmds.UnsettledFlows(&w.locks, now, &e.Tables, e.Direct.FlowLifetime) {
+		for f, t := range flows {
 			if n++; n > maxReportsToNew {
 				break
 			}
--- a/core/packet/header.go
+++ b/core/packet/header.go
@@ -43,26 +43,31 @@
 	Body Body
 }
 
+// timeoutAfter returns what is left of a timeout after d, and whether anything is. A
+// timeout of 0 means none.
+func timeoutAfter(timeout, d time.Duration) (time.Duration, bool) {
+	if timeout == 0 {
+		return 0, true
+	}
+	return timeout - d, timeout > d
+}
+
 // WithWait returns a copy after the packet has waited for d. It reports false if
 // its sender has given it up meanwhile.
 func (p Packet) WithWait(d time.Duration) (Packet, bool) {
 	switch b := p.Body.(type) {
 	case *Open:
-		if b.Timeout == 0 {
-			return p, true
-		}
+		left, ok := timeoutAfter(b.Timeout, d)
 		next := *b
-		next.Timeout -= d
+		next.Timeout = left
 		p.Body = &next
-		return p, next.Timeout > 0
+		return p, ok
 	case *Request:
-		if b.Timeout == 0 {
-			return p, true
-		}
+		left, ok := timeoutAfter(b.Timeout, d)
 		next := *b
-		next.Timeout -= d
+		next.Timeout = left
 		p.Body = &next
-		return p, next.Timeout > 0
+		return p, ok
 	case *Accept, *Answer, *Refuse, *Cancel, *Data, *Ack, *Close, *Reset:
 	}
 	return p, true
--- a/core/query/news.go
+++ b/core/query/news.go
@@ -109,7 +109,7 @@
 // those of self's data centre first, which take its packets when self stops. The
 // order of a group depends on the flow.
 func FlowKeepers(v member.View, self model.Balancer, f packet.FlowID) []model.Balancer {
-	local, others := rankedPeers(v, self, f)
+	local, others := rankedPeers(v, self, f.Hash())
 	local = local[:min(len(local), localKeepers)]
 	return append(local, others[:min(len(others), flowKeepers-len(local))]...)
 }
@@ -118,7 +118,7 @@
 // self's data centre, also those that are stopping, and the first others in
 // FlowKeepers' order.
 func FlowWitnesses(v member.View, self model.Balancer, f packet.FlowID) []model.Balancer {
-	local, others := rankedPeers(v, self, f)
+	local, others := rankedPeers(v, self, f.Hash())
 	local = append(local, others[:min(len(others), flowKeepers)]...)
 	for _, b := range v.Leaving() {
 		if b.DataCentre == self.DataCentre && b.Name != self.Name {
@@ -128,9 +128,9 @@
 	return local
 }
 
-// rankedPeers returns the other live balancers in the order of their hashes with a
-// flow, in two groups: those of self's data centre and the others.
-func rankedPeers(v member.View, self model.Balancer, f packet.FlowID) (local, others []model.Balancer) {
+// rankedPeers returns the other live balancers that serve news, in the order of
+// their hashes with a key, in two groups: those of self's data centre and the others.
+func rankedPeers(v member.View, self model.Balancer, key uint64) (local, others []model.Balancer) {
 	for _, b := range v.Balancers() {
 		switch {
 		case b.Name == self.Name || !b.Fetch.IsValid():
@@ -140,7 +140,6 @@
 			others = append(others, b)
 		}
 	}
-	key := f.Hash()
 	score := func(b model.Balancer) uint64 { return rank.Mix(key ^ xxhash.Sum64String(b.Name)) }
 	for _, list := range [][]model.Balancer{local, others} {
 		slices.SortFunc(list, func(a, b model.Balancer) int { return cmp.Compare(score(a), score(b)) })
@@ -152,23 +151,6 @@
 // data centre first. The order within each group differs between balancers, so
 // that many that start at once don't all ask the same one.
 func NewsSources(v member.View, self model.Balancer) []model.Balancer {
-	key := xxhash.Sum64String(self.Name)
-	out := make([]model.Balancer, 0, v.Len())
-	for _, b := range v.Balancers() {
-		if b.Name != self.Name && b.Fetch.IsValid() {
-			out = append(out, b)
-		}
-	}
-	order := func(b model.Balancer) (far int, score uint64) {
-		if b.DataCentre != self.DataCentre {
-			far = 1
-		}
-		return far, rank.Mix(key ^ xxhash.Sum64String(b.Name))
-	}
-	slices.SortFunc(out, func(a, b model.Balancer) int {
-		farA, scoreA := order(a)
-		farB, scoreB := order(b)
-		return cmp.Or(cmp.Compare(farA, farB), cmp.Compare(scoreA, scoreB))
-	})
-	return out
+	local, others := rankedPeers(v, self, xxhash.Sum64String(self.Name))
+	return append(local, others...)
 }
--- a/core/table/direct.go
+++ b/core/table/direct.go
@@ -16,8 +16,6 @@
 	roster.Member
 	// Token identifies the instance in the packets of its open flows; never 0.
 	Token uint32
-	// OpeningToken identifies it in openings, which other instances may also get.
-	OpeningToken uint32
 	// Key is the instance's hash for rendezvous ranking.
 	Key uint64
 	// State is shared by all views until the instance starts again.
@@ -98,6 +96,9 @@
 // when its flow is open at another instance.
 func OpeningToken(id uint64) uint32 { return Token(id) ^ openingMask }
 
+// OpeningToken returns the token of the instance in openings.
+func (b *Backend) OpeningToken() uint32 { return b.Token ^ openingMask }
+
 // WithRouting returns a copy with other routes.
 func (d *DirectView) WithRouting(r model.Routing) *DirectView {
 	next := *d
@@ -169,7 +170,7 @@
 }
 
 func (d *DirectView) add(prev *DirectView, m roster.Member) *Backend {
-	b := &Backend{Member: m, Token: Token(m.Instance.ID), OpeningToken: OpeningToken(m.Instance.ID), Key: xxhash.Sum64String(m.Instance.Name)}
+	b := &Backend{Member: m, Token: Token(m.Instance.ID), Key: xxhash.Sum64String(m.Instance.Name)}
 	if old := prev.byID[m.Instance.ID]; old != nil && old.Instance.StartMillis == m.Instance.StartMillis {
 		b.State = old.State
 	} else {
--- a/core/table/tracks.go
+++ b/core/table/tracks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretdock/core/locks"
+	"egretdock/core/member"
 	"egretdock/core/packet"
 )
 
@@ -23,7 +24,7 @@
 )
 
 // MaxTried is the maximum number of instances that an opening is sent to.
-const MaxTried = 4
+const MaxTried = member.MaxFlowInstances
 
 // Track is what one balancer has seen of an opaque flow. It is immutable. A
 // flow can be served by its token alone; the track holds what the token does
